--- /dev/null
+++ b/libs/gateway/include/gateway/balancer.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "base/time.h"
+#include "gateway/directory.h"
+
+#include <cstdint>
+
+namespace greengagechute::gateway {
+
+/// Load that a server states in its answers.
+struct stated_load {
+    int running = 0;
+    int waiting = 0;
+    int slots = 0;
+};
+
+struct balancer_settings {
+    /// One way between data centres of a region, and between regions; from the deployment.
+    double near_ms = 0.5;
+    double far_ms = 12.0;
+    /// Requests that all hosts together let a server hold, per slot. A server queues a few times
+    /// its slots; beyond that some never answer.
+    double held_per_slot = 2.0;
+    /// A stated load counts for this long; servers answer several times a second.
+    milliseconds load_age{300};
+    /// Failures in a row after which a server gets no work for a time.
+    int failures = 3;
+    milliseconds pause{1'000};
+    /// Service time assumed before any has been measured.
+    double first_latency_ms = 80.0;
+};
+
+/// What a host knows of one server.
+struct server_state {
+    server_entry entry;
+    int in_flight = 0;
+    stated_load stated;
+    time_point stated_at;
+    bool has_stated = false;
+    /// Smoothed time from sending a request to its answer.
+    double latency_ms = 0;
+    /// Smoothed share of requests that failed.
+    double failure_share = 0;
+    int failures_in_row = 0;
+    time_point paused_until;
+    time_point appeared;
+    /// Time at which it was first seen leaving.
+    time_point leaving_since;
+};
+
+/// How far a server is from this host.
+enum class distance { same_data_centre, same_region, other_region };
+
+/// Requests that this host may have at the server at the same time.
+/// @param hosts  hosts that send to the server
+int concurrency_limit(const server_state& server, int hosts, const balancer_settings& settings,
+                      time_point now);
+
+/// Expected time to an answer of one more request, in milliseconds.
+double expected_ms(const server_state& server, distance far, const balancer_settings& settings,
+                   time_point now);
+
+/// Whether the server may get work now: registered, not leaving, not paused.
+bool is_available(const server_state& server, time_point now);
+
+void record_answer(server_state& server, microseconds took, bool failed,
+                   const balancer_settings& settings, time_point now);
+/// A request could not be sent, or its connection failed.
+void record_loss(server_state& server, const balancer_settings& settings, time_point now);
+void record_load(server_state& server, const stated_load& load, time_point now);
+
+}  // namespace greengagechute::gateway
--- /dev/null
+++ b/libs/gateway/include/gateway/coordinator.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "gateway/catalogue.h"
+#include "gateway/directory.h"
+#include "gateway/store.h"
+#include "ranges/key_load.h"
+#include "ranges/lease_keeper.h"
+#include "telemetry/logger.h"
+#include "wire/client.h"
+#include "wire/loop.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace greengagechute::gateway {
+
+struct coordinator_settings {
+    host_id host;
+    /// Where the other hosts reach this one.
+    wire::endpoint address;
+    /// Time between reports to the coordinator; it is missed after two of them.
+    milliseconds report_every{400};
+    milliseconds report_timeout{600};
+    /// The coordinator looks for due orders at this interval.
+    milliseconds tick{50};
+    milliseconds balance_every{500};
+    milliseconds order_timeout{600};
+    /// A coordinator without the store and without reports from others for this long stops
+    /// renewing leases: another one may have taken its place.
+    milliseconds isolation{2'000};
+    ranges::keeper_settings keeper;
+};
+
+/// What a host tells the coordinator.
+struct host_report {
+    host_id host;
+    std::map<service_id, std::vector<ranges::key_position>> keys;
+};
+
+/// What the coordinator answers.
+struct report_answer {
+    bool coordinating = false;
+    /// The coordinator reaches the store.
+    bool has_store = true;
+    /// Hosts that report to it, itself included.
+    int hosts = 1;
+};
+
+std::string encode(const host_report& report);
+bool decode(std::string_view text, host_report& report);
+std::string encode(const report_answer& answer);
+bool decode(std::string_view text, report_answer& answer);
+
+/// Name of the project's table in the store.
+inline constexpr std::string_view ownership_table = "greengagechute";
+
+/// One of the hosts assigns the keys of divided services and keeps their leases; its term stands in
+/// a row of the store. The others report to it, and one of them takes over when it is lost.
+class coordinator {
+public:
+    using owners_handler = std::function<void(const service_id&, ranges::range_table)>;
+    using key_source = std::function<std::map<service_id, std::vector<ranges::key_position>>()>;
+
+    coordinator(wire::event_loop& loop, wire::client& peers, table_store& store,
+                server_orders& orders, const directory& servers, telemetry::logger& log,
+                coordinator_settings settings, owners_handler owners, key_source keys,
+                std::function<void(int)> hosts, std::uint64_t seed);
+    coordinator(const coordinator&) = delete;
+    coordinator& operator=(const coordinator&) = delete;
+    ~coordinator();
+
+    void start();
+    /// Rows of the project's table.
+    void on_table(const table_content& content, bool whole);
+    void set_catalogue(std::shared_ptr<const catalogue> content);
+    void on_servers();
+    report_answer on_report(const host_report& report, time_point now);
+    /// Gives the term up, for a planned end of this process.
+    void resign();
+    bool coordinating() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> implementation;
+};
+
+}  // namespace greengagechute::gateway
--- /dev/null
+++ b/libs/gateway/src/balancer.cpp
@@ -0,0 +1,99 @@
+#include "gateway/balancer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace greengagechute::gateway {
+
+namespace {
+
+/// Weight of one new observation: about the last ten count.
+constexpr double smoothing = 0.1;
+/// A failed request is as bad as one that takes this many times as long.
+constexpr double failure_cost = 8.0;
+/// A server that warms up is slower by this factor.
+constexpr double cold_factor = 2.0;
+constexpr double us_per_ms = 1'000.0;
+
+bool load_is_fresh(const server_state& server, const balancer_settings& settings, time_point now) {
+    return server.has_stated && now - server.stated_at < settings.load_age;
+}
+
+}  // namespace
+
+int concurrency_limit(const server_state& server, int hosts, const balancer_settings& settings,
+                      time_point now) {
+    const double together = settings.held_per_slot * server.entry.slots;
+    int limit = std::max(1, static_cast<int>(std::ceil(together / std::max(1, hosts))));
+    if (load_is_fresh(server, settings, now)) {
+        if (server.stated.running + server.stated.waiting < server.stated.slots) {
+            ++limit;
+        } else if (server.stated.waiting > 2 * server.stated.slots) {
+            limit = 1;
+        }
+    } else {
+        // Nothing was heard for a while: few others send to it either.
+        ++limit;
+    }
+    return limit;
+}
+
+double expected_ms(const server_state& server, distance far, const balancer_settings& settings,
+                   time_point now) {
+    double travel = 0;
+    if (far == distance::same_region) {
+        travel = 2 * settings.near_ms;
+    } else if (far == distance::other_region) {
+        travel = 2 * settings.far_ms;
+    }
+    double service = server.latency_ms > 0 ? server.latency_ms : settings.first_latency_ms;
+    if (now < server.appeared + server.entry.warmup_left) {
+        service *= cold_factor;
+    }
+    double held = server.in_flight;
+    if (load_is_fresh(server, settings, now)) {
+        held = std::max<double>(held, server.stated.running + server.stated.waiting);
+    }
+    const double slots = std::max(1, server.entry.slots);
+    const double ahead = std::max(0.0, held + 1 - slots);
+    // Below full load, fewer running requests still mean less waiting behind others' requests.
+    const double wait = service * ahead / slots + service * 0.1 * held / slots;
+    return travel + (service + wait) * (1 + failure_cost * server.failure_share);
+}
+
+bool is_available(const server_state& server, time_point now) {
+    return !server.entry.draining && now >= server.paused_until;
+}
+
+void record_answer(server_state& server, microseconds took, bool failed,
+                   const balancer_settings& settings, time_point now) {
+    const double ms = static_cast<double>(took.count()) / us_per_ms;
+    if (!failed) {
+        server.latency_ms = server.latency_ms > 0
+                                ? server.latency_ms + smoothing * (ms - server.latency_ms)
+                                : ms;
+    }
+    server.failure_share += smoothing * ((failed ? 1.0 : 0.0) - server.failure_share);
+    server.failures_in_row = failed ? server.failures_in_row + 1 : 0;
+    if (server.failures_in_row >= settings.failures) {
+        server.paused_until = now + settings.pause;
+        server.failures_in_row = 0;
+    }
+}
+
+void record_loss(server_state& server, const balancer_settings& settings, time_point now) {
+    server.failure_share += smoothing * (1.0 - server.failure_share);
+    ++server.failures_in_row;
+    if (server.failures_in_row >= settings.failures) {
+        server.paused_until = now + settings.pause;
+        server.failures_in_row = 0;
+    }
+}
+
+void record_load(server_state& server, const stated_load& load, time_point now) {
+    server.stated = load;
+    server.stated_at = now;
+    server.has_stated = true;
+}
+
+}  // namespace greengagechute::gateway
--- /dev/null
+++ b/libs/gateway/src/catalogue.cpp
@@ -0,0 +1,60 @@
+#include "gateway/catalogue.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace greengagechute::gateway {
+
+namespace {
+
+std::string lower_case(std::string_view text) {
+    std::string lowered(text);
+    std::transform(lowered.begin(), lowered.end(), lowered.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return lowered;
+}
+
+}  // namespace
+
+void index_routes(catalogue& content) {
+    content.by_host.clear();
+    for (std::size_t position = 0; position < content.routes.size(); ++position) {
+        const route& entry = content.routes[position];
+        content.by_host[lower_case(entry.host)][entry.prefix] = position;
+    }
+}
+
+const route* find_route(const catalogue& content, std::string_view host, std::string_view target) {
+    const auto routes = content.by_host.find(lower_case(host.substr(0, host.find(':'))));
+    if (routes == content.by_host.end()) {
+        return nullptr;
+    }
+    std::string_view path = target.substr(0, target.find('?'));
+    // Prefixes end with a slash: the path is cut at each slash, from the longest.
+    for (std::size_t slash = path.rfind('/'); slash != std::string_view::npos;
+         slash = path.rfind('/')) {
+        const auto found = routes->second.find(std::string(path.substr(0, slash + 1)));
+        if (found != routes->second.end()) {
+            return &content.routes[found->second];
+        }
+        path = path.substr(0, slash);
+    }
+    return nullptr;
+}
+
+const service_id& choose_service(const route& chosen, double draw) {
+    double total = 0;
+    for (const weighted_service& part : chosen.services) {
+        total += part.weight;
+    }
+    double rest = draw * total;
+    for (const weighted_service& part : chosen.services) {
+        rest -= part.weight;
+        if (rest < 0 && part.weight > 0) {
+            return part.service;
+        }
+    }
+    return chosen.services.front().service;
+}
+
+}  // namespace greengagechute::gateway
--- /dev/null
+++ b/libs/gateway/src/gateway.cpp
@@ -0,0 +1,273 @@
+#include "gateway/gateway.h"
+
+#include "gateway/directory.h"
+#include "gateway/table_watch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace greengagechute::gateway {
+
+namespace {
+
+/// Changes of servers that are gathered into one call; a tenth of `drainS`.
+constexpr milliseconds gather_servers{150};
+constexpr milliseconds gather_none{0};
+/// The platform sends new callers until it has missed two answers, one a second.
+constexpr milliseconds callers_stop{2'300};
+constexpr milliseconds drain_poll{50};
+/// Kept for the last answers to leave.
+constexpr milliseconds end_margin{400};
+constexpr milliseconds expire_every{200};
+
+wire::response text_reply(int status, std::string_view reason, std::string body) {
+    wire::response reply;
+    reply.code = status;
+    reply.reason = reason;
+    reply.body = std::move(body);
+    return reply;
+}
+
+}  // namespace
+
+struct gateway::state {
+    wire::event_loop& loop;
+    telemetry::logger& log;
+    telemetry::metrics& numbers;
+    row_format format;
+    gateway_settings settings;
+    wire::client upstreams;
+    wire::client peers;
+    directory servers;
+    front requests;
+    coordinator ownership;
+    table_watch catalogue_watch;
+    table_watch server_watch;
+    table_watch owner_watch;
+    wire::server front_server;
+    wire::server ready_server;
+    wire::server peer_server;
+    std::shared_ptr<const catalogue> config;
+    bool draining = false;
+    time_point drain_began;
+
+    state(wire::event_loop& owner_loop, table_store& store, server_orders& orders,
+          telemetry::logger& logger, telemetry::metrics& metrics, const row_format& rows,
+          const gateway_settings& initial, std::uint64_t seed)
+        : loop(owner_loop),
+          log(logger),
+          numbers(metrics),
+          format(rows),
+          settings(initial),
+          upstreams(owner_loop, {}),
+          peers(owner_loop, {}),
+          servers(directory_settings{}),
+          requests(owner_loop, this->upstreams, logger, metrics, rows.headers,
+                   make_front_settings(initial), seed),
+          ownership(
+              owner_loop, this->peers, store, orders, this->servers, logger,
+              make_coordinator_settings(initial),
+              [this](const service_id& service, ranges::range_table table) {
+                  this->requests.set_owners(service, std::move(table));
+              },
+              [this] { return this->requests.take_keys(); },
+              [this](int hosts) { this->requests.set_hosts(hosts); }, seed + 1),
+          catalogue_watch(owner_loop, store, logger, rows.catalogue_table, gather_none,
+                          [this](const table_update& update) { this->on_catalogue(update); }),
+          server_watch(owner_loop, store, logger, rows.server_table, gather_servers,
+                       [this](const table_update& update) { this->on_servers(update); }),
+          owner_watch(owner_loop, store, logger, std::string(ownership_table), gather_none,
+                      [this](const table_update& update) {
+                          this->ownership.on_table(update.content, update.whole);
+                      }),
+          front_server(owner_loop,
+                       [this](const std::shared_ptr<wire::incoming>& request) {
+                           this->requests.accept(request);
+                       }),
+          ready_server(owner_loop,
+                       [this](const std::shared_ptr<wire::incoming>& request) {
+                           request->answer(this->is_ready()
+                                               ? text_reply(200, "OK", "")
+                                               : text_reply(503, "Service Unavailable", ""));
+                       }),
+          peer_server(owner_loop, [this](const std::shared_ptr<wire::incoming>& request) {
+              this->on_peer(request);
+          }) {}
+
+    static front_settings make_front_settings(const gateway_settings& initial) {
+        front_settings made;
+        made.data_centre = initial.data_centre;
+        made.regions = initial.regions;
+        return made;
+    }
+
+    static coordinator_settings make_coordinator_settings(const gateway_settings& initial) {
+        coordinator_settings made;
+        made.host = initial.host;
+        made.address = initial.peers;
+        made.keeper.hold = std::min(made.keeper.hold, initial.longest_lease);
+        return made;
+    }
+
+    bool is_ready() const { return !this->draining && this->config && this->servers.loaded(); }
+
+    void on_catalogue(const table_update& update) {
+        for (const stored_row& row : update.content.rows) {
+            if (row.key != this->format.catalogue_row || row.removed) {
+                continue;
+            }
+            std::string reason;
+            auto read = this->format.catalogue_of(row.value, reason);
+            if (!read) {
+                telemetry::log_error(this->log, "configuration_refused",
+                                     {{"row_version", row.version}, {"reason", reason}});
+                continue;
+            }
+            if (this->config && read->version <= this->config->version) {
+                if (read->version < this->config->version) {
+                    telemetry::log_warning(this->log, "configuration_older",
+                                           {{"version", read->version},
+                                            {"in_force", this->config->version}});
+                }
+                continue;
+            }
+            index_routes(*read);
+            telemetry::log_info(this->log, "configuration_in_force",
+                                {{"version", read->version},
+                                 {"routes", read->routes.size()},
+                                 {"services", read->services.size()}});
+            this->config = std::make_shared<const catalogue>(std::move(*read));
+            wire::server_limits limits;
+            limits.message = {this->config->limits.header_bytes, this->config->limits.body_bytes};
+            limits.header_timeout = this->config->limits.header_timeout;
+            limits.idle_timeout = this->config->limits.idle_timeout;
+            this->front_server.set_limits(limits);
+            this->requests.set_catalogue(this->config);
+            this->ownership.set_catalogue(this->config);
+        }
+    }
+
+    void on_servers(const table_update& update) {
+        const time_point now = wire::event_loop::now();
+        std::vector<server_change> changes;
+        std::vector<server_entry> entries;
+        for (const stored_row& row : update.content.rows) {
+            std::optional<server_entry> entry;
+            if (!row.removed) {
+                std::string reason;
+                entry = this->format.server_of(row, reason);
+                if (!entry) {
+                    telemetry::log_warning(this->log, "server_entry_skipped",
+                                           {{"server", row.key}, {"reason", reason}});
+                }
+            }
+            if (!update.whole) {
+                telemetry::log_info(
+                    this->log, "server_changed",
+                    {{"server", row.key},
+                     {"present", entry.has_value()},
+                     {"draining", entry && entry->draining},
+                     {"version", row.version}});
+            }
+            if (entry) {
+                entries.push_back(*entry);
+            }
+            changes.push_back({server_id(row.key), std::move(entry)});
+        }
+        if (update.whole) {
+            this->servers.replace(entries, update.after_outage, now);
+        } else {
+            this->servers.apply(changes, update.after_outage, now);
+        }
+        this->servers_changed(now);
+    }
+
+    void servers_changed(time_point now) {
+        this->requests.set_servers(this->servers, now);
+        this->ownership.on_servers();
+    }
+
+    void expire_servers() {
+        const time_point now = wire::event_loop::now();
+        if (this->servers.expire(now)) {
+            this->servers_changed(now);
+        }
+        this->loop.call_after(expire_every, [this] { this->expire_servers(); });
+    }
+
+    void on_peer(const std::shared_ptr<wire::incoming>& request) {
+        const std::string& target = request->message().target;
+        if (target == "/coordination/report") {
+            host_report report;
+            if (!decode(request->message().body, report)) {
+                request->answer(text_reply(400, "Bad Request", "the report is malformed\n"));
+                return;
+            }
+            request->answer(text_reply(
+                200, "OK", encode(this->ownership.on_report(report, wire::event_loop::now()))));
+        } else if (target == "/metrics") {
+            request->answer(text_reply(200, "OK", this->numbers.serialise()));
+        } else {
+            request->answer(text_reply(404, "Not Found", ""));
+        }
+    }
+
+    void poll_drain() {
+        const milliseconds since = std::chrono::duration_cast<milliseconds>(
+            wire::event_loop::now() - this->drain_began);
+        const bool answered = this->requests.open_requests() == 0;
+        if ((since > callers_stop && answered && this->front_server.close_idle()) ||
+            since > this->settings.grace - end_margin) {
+            telemetry::log_info(this->log, "stopped",
+                                {{"open_requests", this->requests.open_requests()}});
+            this->loop.stop();
+            return;
+        }
+        this->loop.call_after(drain_poll, [this] { this->poll_drain(); });
+    }
+};
+
+gateway::gateway(wire::event_loop& loop, table_store& store, server_orders& orders,
+                 telemetry::logger& log, telemetry::metrics& numbers, const row_format& format,
+                 const gateway_settings& settings, std::uint64_t seed)
+    : implementation(std::make_unique<state>(loop, store, orders, log, numbers, format, settings,
+                                             seed)) {}
+
+gateway::~gateway() = default;
+
+status gateway::start() {
+    state& own = *this->implementation;
+    for (const auto& [server, address] :
+         {std::pair{&own.front_server, &own.settings.front},
+          std::pair{&own.ready_server, &own.settings.ready},
+          std::pair{&own.peer_server, &own.settings.peers}}) {
+        if (const status failed = server->open(*address)) {
+            telemetry::log_error(own.log, "listen_failed",
+                                 {{"ip", address->ip}, {"port", address->port}});
+            return failed;
+        }
+    }
+    own.catalogue_watch.start();
+    own.server_watch.start();
+    own.owner_watch.start();
+    own.ownership.start();
+    own.expire_servers();
+    telemetry::log_info(own.log, "started",
+                        {{"front", own.settings.front.port}, {"peers", own.settings.peers.port}});
+    return {};
+}
+
+void gateway::drain() {
+    state& own = *this->implementation;
+    if (own.draining) {
+        return;
+    }
+    own.draining = true;
+    own.drain_began = wire::event_loop::now();
+    telemetry::log_info(own.log, "stopping", {{"open_requests", own.requests.open_requests()}});
+    own.ownership.resign();
+    own.front_server.start_closing();
+    own.poll_drain();
+}
+
+}  // namespace greengagechute::gateway
--- /dev/null
+++ b/libs/ranges/include/ranges/errors.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "base/errors.h"
+
+#include <span>
+#include <system_error>
+
+namespace greengagechute::ranges {
+
+/// Codes of library ranges.
+enum class ranges_errc {
+    malformed_table = 1400,
+};
+
+/// All codes of library ranges.
+std::span<const error_entry> error_table();
+std::error_code make_error_code(ranges_errc code);
+
+}  // namespace greengagechute::ranges
+
+template <>
+struct std::is_error_code_enum<greengagechute::ranges::ranges_errc> : std::true_type {};
--- /dev/null
+++ b/libs/ranges/include/ranges/lease_keeper.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "ranges/key_load.h"
+#include "ranges/range_table.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace greengagechute::ranges {
+
+struct keeper_settings {
+    /// Length of a lease. Twice the time in which a lost coordinator is replaced would be safer,
+    /// half would return the keys of a silent server sooner.
+    milliseconds hold{2'000};
+    /// Time between renewals: a quarter of the lease leaves three tries before it ends.
+    milliseconds renew_every{500};
+    /// A server's clock may run slow by this much; two in a hundred on the users' platform.
+    int clock_slow_percent = 2;
+    /// Time an order may take to arrive: several round trips between regions.
+    milliseconds delivery{150};
+    /// Largest ratio of a server's load to its share before keys are moved away.
+    double overload = 1.25;
+    /// Ranges of one server; each costs one renewal.
+    std::size_t ranges_per_server = 5;
+    /// Ranges that move for balance at the same time.
+    std::size_t balance_moves = 4;
+    /// Requests a second below which load is not balanced.
+    double balance_from = 20.0;
+};
+
+/// A server as the planner sees it.
+struct candidate {
+    server_life life;
+    /// Share of the load that it should get, relative to the others.
+    double weight = 1;
+    /// May be given keys.
+    bool accepts = true;
+};
+
+/// Identifies a lease within its keeper.
+using lease_id = strong_id<struct lease_tag, std::uint64_t>;
+
+struct order {
+    enum class kind { grant, release };
+    kind what = kind::grant;
+    lease_id lease;
+    server_life server;
+    key_range keys;
+    epoch fence;
+    milliseconds hold{0};
+    /// From the release by the last owner; empty if there was none.
+    std::string handover;
+};
+
+enum class order_outcome {
+    done,
+    /// The server has seen a higher fence.
+    fenced_off,
+    /// Nothing listens at the address: that life of the server has ended.
+    refused,
+    /// The order did not leave, for lack of a connection.
+    not_sent,
+    /// The order may be carried out at any time up to now and later.
+    unanswered,
+};
+
+/// Leases of the ranges of one divided service, kept by the coordinator: grants, renews and moves
+/// them. Decides only; orders and commits are carried out by the caller.
+///
+/// A range is given to another server only after its owner has answered a release and no grant is
+/// unanswered, or after the end of the longest lease that the owner could have, or after the
+/// owner's process has ended; and only after the new owner stands in the store.
+class lease_keeper {
+public:
+    /// @param first_fence  above all fences of earlier coordinators
+    lease_keeper(const keeper_settings& settings, epoch first_fence);
+
+    /// Takes over the stored table. Leases of earlier coordinators may run until `now` plus the
+    /// longest lease.
+    void adopt(const range_table& stored, time_point now);
+    /// The servers that may own keys now.
+    void set_candidates(const std::vector<candidate>& servers, time_point now);
+    /// Orders that are due.
+    std::vector<order> due(time_point now);
+    void record(lease_id lease, order_outcome outcome, const std::string& handover,
+                time_point now);
+    /// The table to store, if ownership changes; call `committed` with its outcome.
+    std::optional<range_table> plan(const key_load& load, time_point now);
+    /// @param stored  false if the table was not stored, and never will be
+    void committed(bool stored, time_point now);
+    /// Chooses ranges to move for balance.
+    void balance(const key_load& load, time_point now);
+
+    /// A server answered an order with a higher fence than this coordinator's.
+    bool outranked() const { return this->seen_higher_fence; }
+    /// Ranges without a confirmed owner.
+    std::size_t unowned() const;
+    range_table table() const;
+
+private:
+    enum class phase { held, releasing, expiring, free };
+    struct lease {
+        lease_id id;
+        key_range keys;
+        server_life owner;
+        epoch fence;
+        phase state = phase::held;
+        /// Destination of a move for balance.
+        std::optional<server_life> destination;
+        std::string handover;
+        /// The owner has confirmed a grant of this coordinator.
+        bool confirmed = false;
+        bool in_flight = false;
+        int failures = 0;
+        int connect_failures = 0;
+        time_point next_send;
+        /// No lease that the owner has, or may still get by an order under way, lasts longer.
+        time_point ends;
+        /// `ends` before the order under way.
+        time_point ends_before;
+        /// A grant without an answer may take effect until this time.
+        time_point unanswered_until;
+    };
+
+    milliseconds longest_hold() const;
+    lease* find(lease_id id);
+    const candidate* find_candidate(const server_life& life) const;
+    bool replaced(const server_life& life) const;
+    void fail(lease& failed, time_point now);
+    void merge_neighbours(time_point now);
+    std::map<server_life, double> loads(const key_load& load) const;
+    const candidate* least_loaded(const std::map<server_life, double>& sums, double added) const;
+    void assign_free(std::vector<lease>& planned, const key_load& load) const;
+    lease& split(lease& whole, key_position first_of_second);
+
+    keeper_settings settings;
+    epoch next_fence;
+    std::uint64_t last_id = 0;
+    std::vector<lease> leases;
+    std::vector<candidate> candidates;
+    std::optional<std::vector<lease>> pending;
+    bool seen_higher_fence = false;
+};
+
+}  // namespace greengagechute::ranges
--- /dev/null
+++ b/libs/ranges/src/key_load.cpp
@@ -0,0 +1,51 @@
+#include "ranges/key_load.h"
+
+#include <cmath>
+
+namespace greengagechute::ranges {
+
+namespace {
+
+/// Counts lose the factor e in this time: a few hundred requests of one server, and soon enough for
+/// the hot keys, which change within seconds.
+constexpr double decay_seconds = 3.0;
+/// Load of a bucket without requests.
+constexpr double idle_bucket_load = 0.002;
+
+}  // namespace
+
+key_load::key_load() : buckets(bucket_count, 0.0F) {}
+
+void key_load::add(key_position key) {
+    this->buckets[key / keys_per_bucket] += 1.0F;
+}
+
+void key_load::decay(time_point now) {
+    if (!this->started) {
+        this->started = true;
+        this->decayed_at = now;
+        return;
+    }
+    const double seconds = std::chrono::duration<double>(now - this->decayed_at).count();
+    this->decayed_at = now;
+    const auto factor = static_cast<float>(std::exp(-seconds / decay_seconds));
+    for (float& count : this->buckets) {
+        count *= factor;
+    }
+}
+
+double key_load::of(const key_range& keys) const {
+    double sum = 0;
+    const std::size_t first = keys.first / keys_per_bucket;
+    const std::size_t last = keys.last / keys_per_bucket;
+    for (std::size_t bucket = first; bucket <= last; ++bucket) {
+        sum += static_cast<double>(this->buckets[bucket]) / decay_seconds + idle_bucket_load;
+    }
+    return sum;
+}
+
+double key_load::total() const {
+    return this->of(key_range{});
+}
+
+}  // namespace greengagechute::ranges
--- /dev/null
+++ b/libs/ranges/src/lease_keeper.cpp
@@ -0,0 +1,480 @@
+#include "ranges/lease_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace greengagechute::ranges {
+
+namespace {
+
+/// Tries without an answer after which an owner is taken as lost.
+constexpr int unanswered_tries = 6;
+/// Failed connections after which an owner is taken as lost.
+constexpr int connect_tries = 2;
+constexpr milliseconds retry_pause{100};
+constexpr int percent = 100;
+/// Part of a server's share that is given away as one piece, so that a lost server's keys are
+/// spread over several others.
+constexpr double piece_of_share = 0.34;
+/// Difference of two servers' ratios of load to share below which a move gains little.
+constexpr double least_gain = 0.3;
+
+}  // namespace
+
+lease_keeper::lease_keeper(const keeper_settings& initial, epoch first_fence)
+    : settings(initial), next_fence(first_fence) {}
+
+milliseconds lease_keeper::longest_hold() const {
+    return this->settings.hold * percent / (percent - this->settings.clock_slow_percent) +
+           this->settings.delivery;
+}
+
+void lease_keeper::adopt(const range_table& stored, time_point now) {
+    this->leases.clear();
+    for (const range_owner& entry : stored.ranges) {
+        lease adopted;
+        adopted.id = lease_id(++this->last_id);
+        adopted.keys = entry.keys;
+        adopted.owner = entry.owner;
+        adopted.fence = this->next_fence;
+        adopted.next_send = now;
+        adopted.ends = now + this->longest_hold();
+        this->leases.push_back(std::move(adopted));
+    }
+    this->next_fence = this->next_fence.next();
+}
+
+const candidate* lease_keeper::find_candidate(const server_life& life) const {
+    const auto found = std::find_if(this->candidates.begin(), this->candidates.end(),
+                                    [&life](const candidate& one) { return one.life == life; });
+    return found == this->candidates.end() ? nullptr : &*found;
+}
+
+bool lease_keeper::replaced(const server_life& life) const {
+    return std::any_of(this->candidates.begin(), this->candidates.end(),
+                       [&life](const candidate& one) {
+                           return one.life.id == life.id && one.life.born > life.born;
+                       });
+}
+
+lease_keeper::lease* lease_keeper::find(lease_id id) {
+    const auto found = std::find_if(this->leases.begin(), this->leases.end(),
+                                    [id](const lease& one) { return one.id == id; });
+    return found == this->leases.end() ? nullptr : &*found;
+}
+
+void lease_keeper::set_candidates(const std::vector<candidate>& servers, time_point now) {
+    this->candidates = servers;
+    for (lease& one : this->leases) {
+        if (this->replaced(one.owner) && one.state != phase::free) {
+            // The owner's process has ended, and its next life holds nothing.
+            one.state = phase::free;
+            one.ends = now;
+            one.handover.clear();
+            continue;
+        }
+        const candidate* owner = this->find_candidate(one.owner);
+        if (one.state == phase::held && (owner == nullptr || !owner->accepts)) {
+            one.state = phase::releasing;
+            one.next_send = now;
+        }
+    }
+}
+
+std::vector<order> lease_keeper::due(time_point now) {
+    std::vector<order> orders;
+    for (lease& one : this->leases) {
+        if ((one.state == phase::expiring || one.state == phase::releasing) && now >= one.ends) {
+            // The lease has run out, also where a release has not been answered yet.
+            one.state = phase::free;
+        }
+        if (one.in_flight || now < one.next_send || one.state == phase::expiring ||
+            one.state == phase::free) {
+            continue;
+        }
+        order next;
+        next.lease = one.id;
+        next.server = one.owner;
+        next.keys = one.keys;
+        next.fence = one.fence;
+        if (one.state == phase::releasing) {
+            next.what = order::kind::release;
+        } else {
+            next.hold = this->settings.hold;
+            next.handover = one.handover;
+            one.ends_before = one.ends;
+            one.ends = now + this->longest_hold();
+            one.next_send = now + this->settings.renew_every;
+        }
+        one.in_flight = true;
+        orders.push_back(std::move(next));
+    }
+    return orders;
+}
+
+void lease_keeper::fail(lease& failed, time_point now) {
+    ++failed.failures;
+    failed.next_send = std::min(failed.next_send, now + retry_pause);
+    if (failed.connect_failures >= connect_tries || failed.failures >= unanswered_tries) {
+        failed.state = phase::expiring;
+        failed.handover.clear();
+        failed.destination.reset();
+    }
+}
+
+void lease_keeper::record(lease_id id, order_outcome outcome, const std::string& handover,
+                          time_point now) {
+    lease* const found = this->find(id);
+    if (found == nullptr) {
+        return;
+    }
+    lease& one = *found;
+    one.in_flight = false;
+    if (one.state == phase::free) {
+        return;
+    }
+    switch (outcome) {
+        case order_outcome::refused:
+            one.state = phase::free;
+            one.ends = now;
+            one.handover.clear();
+            return;
+        case order_outcome::fenced_off:
+            this->seen_higher_fence = true;
+            one.fence = this->next_fence;
+            this->next_fence = this->next_fence.next();
+            one.next_send = now + retry_pause;
+            return;
+        case order_outcome::not_sent:
+            if (one.state == phase::held) {
+                one.ends = std::max(one.ends_before, one.unanswered_until);
+            }
+            ++one.connect_failures;
+            this->fail(one, now);
+            return;
+        case order_outcome::unanswered:
+            if (one.state == phase::held) {
+                one.unanswered_until = std::max(one.unanswered_until, one.ends);
+            }
+            this->fail(one, now);
+            return;
+        case order_outcome::done:
+            break;
+    }
+    one.failures = 0;
+    one.connect_failures = 0;
+    if (one.state == phase::held) {
+        one.confirmed = true;
+        one.handover.clear();
+    } else if (one.state == phase::releasing) {
+        one.handover = handover;
+        // A grant without an answer may still take effect after the release.
+        one.state = now >= one.unanswered_until ? phase::free : phase::expiring;
+        one.ends = std::max(now, one.unanswered_until);
+    }
+}
+
+std::map<server_life, double> lease_keeper::loads(const key_load& load) const {
+    std::map<server_life, double> sums;
+    for (const candidate& one : this->candidates) {
+        if (one.accepts) {
+            sums[one.life] = 0;
+        }
+    }
+    for (const lease& one : this->leases) {
+        const server_life& owner = one.destination ? *one.destination : one.owner;
+        const auto found = sums.find(owner);
+        if (found != sums.end() && (one.state == phase::held || one.destination)) {
+            found->second += load.of(one.keys);
+        }
+    }
+    return sums;
+}
+
+const candidate* lease_keeper::least_loaded(const std::map<server_life, double>& sums,
+                                            double added) const {
+    const candidate* best = nullptr;
+    double best_ratio = 0;
+    for (const candidate& one : this->candidates) {
+        const auto found = sums.find(one.life);
+        if (!one.accepts || found == sums.end()) {
+            continue;
+        }
+        const double ratio = (found->second + added) / one.weight;
+        if (best == nullptr || ratio < best_ratio) {
+            best = &one;
+            best_ratio = ratio;
+        }
+    }
+    return best;
+}
+
+std::optional<range_table> lease_keeper::plan(const key_load& load, time_point now) {
+    if (this->pending) {
+        return std::nullopt;
+    }
+    const bool any_accepts = std::any_of(this->candidates.begin(), this->candidates.end(),
+                                         [](const candidate& one) { return one.accepts; });
+    if (!any_accepts) {
+        return std::nullopt;
+    }
+    std::vector<lease> planned = this->leases;
+    if (planned.empty()) {
+        // First assignment: contiguous shares by weight.
+        double total = 0;
+        for (const candidate& one : this->candidates) {
+            total += one.accepts ? one.weight : 0;
+        }
+        double sum = 0;
+        key_position first = 0;
+        for (const candidate& one : this->candidates) {
+            if (!one.accepts) {
+                continue;
+            }
+            sum += one.weight;
+            const auto buckets = static_cast<key_position>(
+                sum / total * static_cast<double>(bucket_count) + 0.5);
+            const key_position end = std::min(buckets * keys_per_bucket, last_key + 1);
+            if (end <= first) {
+                continue;
+            }
+            lease fresh;
+            fresh.keys = {first, end - 1};
+            fresh.owner = one.life;
+            fresh.next_send = now;
+            fresh.state = phase::held;
+            planned.push_back(fresh);
+            first = end;
+        }
+        planned.back().keys.last = last_key;
+    } else {
+        if (std::none_of(planned.begin(), planned.end(),
+                         [](const lease& one) { return one.state == phase::free; })) {
+            return std::nullopt;
+        }
+        this->assign_free(planned, load);
+    }
+    for (lease& one : planned) {
+        if (one.id == lease_id{}) {
+            one.id = lease_id(++this->last_id);
+            one.fence = this->next_fence;
+            one.next_send = now;
+        }
+    }
+    this->next_fence = this->next_fence.next();
+    range_table table;
+    for (const lease& one : planned) {
+        table.ranges.push_back({one.keys, one.owner});
+    }
+    this->pending = std::move(planned);
+    return table;
+}
+
+void lease_keeper::assign_free(std::vector<lease>& planned, const key_load& load) const {
+    auto sums = this->loads(load);
+    double weights = 0;
+    for (const candidate& one : this->candidates) {
+        weights += one.accepts ? one.weight : 0;
+    }
+    const double share = load.total() / std::max(weights, 1e-9);
+    std::vector<lease> result;
+    for (lease& one : planned) {
+        if (one.state != phase::free) {
+            result.push_back(std::move(one));
+            continue;
+        }
+        const candidate* next_life = nullptr;
+        for (const candidate& other : this->candidates) {
+            if (other.accepts && other.life.id == one.owner.id &&
+                other.life.born > one.owner.born) {
+                next_life = &other;
+            }
+        }
+        key_position first = one.keys.first;
+        while (first <= one.keys.last) {
+            lease piece;
+            piece.keys = {first, one.keys.last};
+            const candidate* target = next_life;
+            if (one.destination && this->find_candidate(*one.destination) != nullptr &&
+                this->find_candidate(*one.destination)->accepts) {
+                target = this->find_candidate(*one.destination);
+            }
+            if (target == nullptr) {
+                target = this->least_loaded(sums, 0);
+                const double limit = share * target->weight * piece_of_share;
+                double sum = 0;
+                key_position bucket = first / keys_per_bucket;
+                const key_position last_bucket = one.keys.last / keys_per_bucket;
+                for (; bucket < last_bucket; ++bucket) {
+                    sum += load.of({bucket * keys_per_bucket, bucket * keys_per_bucket});
+                    if (sum >= limit) {
+                        break;
+                    }
+                }
+                piece.keys.last =
+                    std::min(one.keys.last, (bucket + 1) * keys_per_bucket - 1);
+            }
+            piece.owner = target->life;
+            piece.handover = one.handover;
+            sums[target->life] += load.of(piece.keys);
+            first = piece.keys.last + 1;
+            result.push_back(std::move(piece));
+        }
+    }
+    planned = std::move(result);
+}
+
+void lease_keeper::committed(bool stored, time_point now) {
+    if (!this->pending) {
+        return;
+    }
+    std::vector<lease> planned = std::move(*this->pending);
+    this->pending.reset();
+    if (!stored) {
+        return;
+    }
+    // Orders may have been recorded since the plan was made: leases that were not reassigned keep
+    // their present state.
+    for (lease& one : planned) {
+        const lease* const present = this->find(one.id);
+        if (present != nullptr) {
+            one = *present;
+        } else {
+            one.next_send = now;
+        }
+    }
+    this->leases = std::move(planned);
+    this->merge_neighbours(now);
+}
+
+void lease_keeper::merge_neighbours(time_point now) {
+    std::vector<lease> merged;
+    for (lease& one : this->leases) {
+        const auto settled = [](const lease& other) {
+            return other.state == phase::held && !other.in_flight && !other.destination &&
+                   other.confirmed && other.failures == 0;
+        };
+        if (!merged.empty() && merged.back().owner == one.owner && settled(merged.back()) &&
+            settled(one)) {
+            lease& whole = merged.back();
+            whole.keys.last = one.keys.last;
+            whole.fence = this->next_fence;
+            whole.next_send = now;
+            whole.ends = std::max(whole.ends, one.ends);
+            whole.unanswered_until = std::max(whole.unanswered_until, one.unanswered_until);
+            this->next_fence = this->next_fence.next();
+        } else {
+            merged.push_back(std::move(one));
+        }
+    }
+    this->leases = std::move(merged);
+}
+
+lease_keeper::lease& lease_keeper::split(lease& whole, key_position first_of_second) {
+    lease second = whole;
+    second.id = lease_id(++this->last_id);
+    second.keys.first = first_of_second;
+    whole.keys.last = first_of_second - 1;
+    const auto position = std::find_if(this->leases.begin(), this->leases.end(),
+                                       [&whole](const lease& one) { return one.id == whole.id; });
+    return *this->leases.insert(std::next(position), std::move(second));
+}
+
+void lease_keeper::balance(const key_load& load, time_point now) {
+    if (this->pending || load.total() < this->settings.balance_from) {
+        return;
+    }
+    for (std::size_t round = 0; round < this->settings.balance_moves; ++round) {
+        const auto moving = static_cast<std::size_t>(
+            std::count_if(this->leases.begin(), this->leases.end(),
+                          [](const lease& one) { return one.destination.has_value(); }));
+        if (moving >= this->settings.balance_moves) {
+            return;
+        }
+        const auto sums = this->loads(load);
+        double weights = 0;
+        for (const candidate& one : this->candidates) {
+            weights += one.accepts ? one.weight : 0;
+        }
+        const double share = load.total() / std::max(weights, 1e-9);
+        const auto ratio = [&sums, share](const candidate& one) {
+            return sums.at(one.life) / (share * one.weight);
+        };
+        const candidate* hottest = nullptr;
+        const candidate* coldest = nullptr;
+        for (const candidate& one : this->candidates) {
+            if (!one.accepts) {
+                continue;
+            }
+            if (hottest == nullptr || ratio(one) > ratio(*hottest)) {
+                hottest = &one;
+            }
+            if (coldest == nullptr || ratio(one) < ratio(*coldest)) {
+                coldest = &one;
+            }
+        }
+        if (hottest == nullptr || hottest == coldest ||
+            ratio(*hottest) - ratio(*coldest) < least_gain ||
+            (ratio(*hottest) < this->settings.overload &&
+             ratio(*coldest) > 1 / (this->settings.overload * this->settings.overload))) {
+            return;
+        }
+        // Moves the load that makes both equal, from the edge of the owner's busiest range.
+        const double wanted = (sums.at(hottest->life) * coldest->weight -
+                               sums.at(coldest->life) * hottest->weight) /
+                              (hottest->weight + coldest->weight);
+        lease* source = nullptr;
+        double source_load = 0;
+        for (lease& one : this->leases) {
+            const double own = load.of(one.keys);
+            if (one.owner == hottest->life && one.state == phase::held && !one.in_flight &&
+                one.confirmed && !one.destination && (source == nullptr || own > source_load)) {
+                source = &one;
+                source_load = own;
+            }
+        }
+        if (source == nullptr) {
+            return;
+        }
+        lease* moved = source;
+        if (source_load > wanted) {
+            double sum = 0;
+            key_position bucket = source->keys.first / keys_per_bucket;
+            const key_position last_bucket = source->keys.last / keys_per_bucket;
+            for (; bucket < last_bucket; ++bucket) {
+                const double own = load.of({bucket * keys_per_bucket, bucket * keys_per_bucket});
+                if (sum + own / 2 > wanted) {
+                    break;
+                }
+                sum += own;
+            }
+            const key_position cut = bucket * keys_per_bucket;
+            if (cut <= source->keys.first || cut > source->keys.last) {
+                return;
+            }
+            const lease_id first = source->id;
+            this->split(*source, cut);
+            moved = this->find(first);
+        }
+        moved->destination = coldest->life;
+        moved->state = phase::releasing;
+        moved->next_send = now;
+    }
+}
+
+std::size_t lease_keeper::unowned() const {
+    return static_cast<std::size_t>(
+        std::count_if(this->leases.begin(), this->leases.end(), [](const lease& one) {
+            return one.state != phase::held || !one.confirmed;
+        }));
+}
+
+range_table lease_keeper::table() const {
+    range_table current;
+    for (const lease& one : this->leases) {
+        current.ranges.push_back({one.keys, one.owner});
+    }
+    return current;
+}
+
+}  // namespace greengagechute::ranges
--- /dev/null
+++ b/libs/ranges/src/range_table.cpp
@@ -0,0 +1,57 @@
+#include "ranges/range_table.h"
+
+#include "ranges/errors.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace greengagechute::ranges {
+
+const server_life* owner_of(const range_table& table, key_position key) {
+    const auto found =
+        std::lower_bound(table.ranges.begin(), table.ranges.end(), key,
+                         [](const range_owner& entry, key_position position) {
+                             return entry.keys.last < position;
+                         });
+    return found == table.ranges.end() ? nullptr : &found->owner;
+}
+
+std::string encode(const range_table& table) {
+    nlohmann::json rows = nlohmann::json::array();
+    for (const range_owner& entry : table.ranges) {
+        // A range begins after the end of the one before it.
+        rows.push_back({entry.keys.last, entry.owner.id.value(), entry.owner.born});
+    }
+    return rows.dump();
+}
+
+result<range_table> decode(std::string_view text) {
+    const nlohmann::json rows = nlohmann::json::parse(text, nullptr, false);
+    if (!rows.is_array()) {
+        return make_error_code(ranges_errc::malformed_table);
+    }
+    range_table table;
+    key_position first = 0;
+    for (const nlohmann::json& row : rows) {
+        if (!row.is_array() || row.size() != 3 || !row[0].is_number_unsigned() ||
+            !row[1].is_string() || !row[2].is_number_unsigned()) {
+            return make_error_code(ranges_errc::malformed_table);
+        }
+        const auto last = row[0].get<std::uint64_t>();
+        if (last < first || last > last_key) {
+            return make_error_code(ranges_errc::malformed_table);
+        }
+        table.ranges.push_back(
+            {{first, static_cast<key_position>(last)},
+             {server_id(row[1].get<std::string>()), row[2].get<std::uint64_t>()}});
+        first = static_cast<key_position>(last) + 1;
+    }
+    if (!table.ranges.empty() && first != last_key + 1) {
+        return make_error_code(ranges_errc::malformed_table);
+    }
+    return table;
+}
+
+}  // namespace greengagechute::ranges
--- /dev/null
+++ b/libs/wire/include/wire/client.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "base/result.h"
+#include "base/strong_id.h"
+#include "base/time.h"
+#include "wire/loop.h"
+#include "wire/message.h"
+#include "wire/stream.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace greengagechute::wire {
+
+using call_id = strong_id<struct call_tag, std::uint64_t>;
+
+struct call_options {
+    /// From `send` to the whole response.
+    milliseconds timeout{1'000};
+    /// From `send` to an established connection.
+    milliseconds connect_timeout{1'000};
+    /// Whether a response answers this request; others are late answers to earlier requests and are
+    /// skipped. Empty accepts every response.
+    std::function<bool(const response&)> accept;
+};
+
+struct call_result {
+    /// Empty if `message` holds the whole response.
+    status error;
+    response message;
+    /// The request was given to an established connection, so the server may have run it.
+    bool sent = false;
+    /// The connection had carried an earlier exchange.
+    bool reused = false;
+};
+
+using call_handler = std::function<void(call_result)>;
+
+/// Times that decide whether an idle connection is used again.
+struct idle_limits {
+    /// Peers close idle connections after a time that they do not always state.
+    milliseconds unstated{7'000};
+    /// Share of a stated time after which a connection is not used again, in percent.
+    int stated_percent = 70;
+};
+
+/// HTTP/1.1 client with connections that are used again. One exchange at a time on a connection; a
+/// request is never sent a second time.
+class client {
+public:
+    client(event_loop& loop, idle_limits limits);
+    client(const client&) = delete;
+    client& operator=(const client&) = delete;
+    ~client();
+
+    /// `done` is called once, unless the call is cancelled.
+    call_id send(const endpoint& address, const request& message, const call_options& options,
+                 call_handler done);
+    /// Closes the connection of the call, so that the server stops its work. No effect on a call
+    /// that has ended.
+    void cancel(call_id id);
+    /// Connections opened so far.
+    std::uint64_t opened() const;
+
+private:
+    struct connection;
+    struct call;
+
+    void begin(const std::shared_ptr<call>& started);
+    void dispatch(const std::shared_ptr<connection>& channel, const std::shared_ptr<call>& started);
+    void on_data(const std::shared_ptr<connection>& channel, std::string_view bytes);
+    void on_end(const std::shared_ptr<connection>& channel, stream_end how);
+    void complete(const std::shared_ptr<connection>& channel, std::string_view rest);
+    void fail(const std::shared_ptr<connection>& channel, wire_errc code);
+    void keep(const std::shared_ptr<connection>& channel, const response& message,
+              time_point now);
+    void drop(const std::shared_ptr<connection>& channel);
+    void end_call(const std::shared_ptr<call>& ended, call_result outcome);
+
+    event_loop& loop;
+    idle_limits limits;
+    std::uint64_t last_id = 0;
+    std::uint64_t connections_opened = 0;
+    std::unordered_map<std::uint64_t, std::shared_ptr<call>> calls;
+    std::map<endpoint, std::vector<std::shared_ptr<connection>>> idle;
+};
+
+}  // namespace greengagechute::wire
--- /dev/null
+++ b/libs/wire/src/client.cpp
@@ -0,0 +1,274 @@
+#include "wire/client.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace greengagechute::wire {
+
+namespace {
+
+constexpr std::int64_t ms_per_second = 1'000;
+constexpr int percent = 100;
+
+/// The idle time that a response states, or `unstated`.
+milliseconds idle_time(const response& message, const idle_limits& limits) {
+    const std::string* stated = find_header(message.headers, "Keep-Alive");
+    if (stated == nullptr) {
+        return limits.unstated;
+    }
+    static constexpr std::string_view name = "timeout=";
+    const std::size_t at = stated->find(name);
+    if (at == std::string::npos) {
+        return limits.unstated;
+    }
+    std::int64_t seconds = 0;
+    const char* first = stated->data() + at + name.size();
+    if (std::from_chars(first, stated->data() + stated->size(), seconds).ec != std::errc{} ||
+        seconds < 0 || seconds > ms_per_second * ms_per_second) {
+        return limits.unstated;
+    }
+    return std::min(limits.unstated,
+                    milliseconds(seconds * ms_per_second * limits.stated_percent / percent));
+}
+
+}  // namespace
+
+struct client::call {
+    call_id id;
+    endpoint address;
+    std::string bytes;
+    bool head = false;
+    call_options options;
+    call_handler done;
+    timer_id timeout = 0;
+    timer_id connect_timeout = 0;
+    std::shared_ptr<connection> channel;
+    bool sent = false;
+    bool reused = false;
+};
+
+struct client::connection {
+    endpoint address;
+    std::shared_ptr<stream> socket;
+    response_parser parser;
+    std::shared_ptr<call> current;
+    bool connected = false;
+    bool used = false;
+    bool dropped = false;
+    time_point idle_until;
+};
+
+client::client(event_loop& owner, idle_limits idle_rules) : loop(owner), limits(idle_rules) {}
+
+client::~client() {
+    for (auto& [id, open_call] : this->calls) {
+        this->loop.cancel(open_call->timeout);
+        this->loop.cancel(open_call->connect_timeout);
+        if (open_call->channel) {
+            open_call->channel->socket->close();
+            open_call->channel->current = nullptr;
+            open_call->channel = nullptr;
+        }
+    }
+    for (auto& [address, channels] : this->idle) {
+        for (auto& channel : channels) {
+            channel->socket->close();
+        }
+    }
+}
+
+std::uint64_t client::opened() const {
+    return this->connections_opened;
+}
+
+call_id client::send(const endpoint& address, const request& message, const call_options& options,
+                     call_handler done) {
+    auto started = std::make_shared<call>();
+    started->id = call_id(++this->last_id);
+    started->address = address;
+    started->bytes = serialize(message);
+    started->head = message.method == "HEAD";
+    started->options = options;
+    started->done = std::move(done);
+    this->calls.emplace(started->id.value(), started);
+    started->timeout = this->loop.call_after(options.timeout, [this, started] {
+        call_result outcome;
+        outcome.error = started->sent ? wire_errc::timeout : wire_errc::connect_timeout;
+        this->end_call(started, std::move(outcome));
+    });
+    this->begin(started);
+    return started->id;
+}
+
+void client::begin(const std::shared_ptr<call>& started) {
+    const time_point now = event_loop::now();
+    auto& channels = this->idle[started->address];
+    while (!channels.empty()) {
+        const auto channel = channels.back();
+        channels.pop_back();
+        if (channel->dropped || channel->idle_until <= now) {
+            this->drop(channel);
+            continue;
+        }
+        started->reused = true;
+        this->dispatch(channel, started);
+        return;
+    }
+    auto channel = std::make_shared<connection>();
+    channel->address = started->address;
+    channel->current = started;
+    started->channel = channel;
+    ++this->connections_opened;
+    started->connect_timeout =
+        this->loop.call_after(started->options.connect_timeout, [this, channel] {
+            if (!channel->connected) {
+                this->fail(channel, wire_errc::connect_timeout);
+            }
+        });
+    stream_handlers handlers;
+    handlers.connected = [this, channel] {
+        channel->connected = true;
+        if (channel->current) {
+            this->loop.cancel(channel->current->connect_timeout);
+            this->dispatch(channel, channel->current);
+        }
+    };
+    handlers.data = [this, channel](std::string_view bytes) { this->on_data(channel, bytes); };
+    handlers.ended = [this, channel](stream_end how) { this->on_end(channel, how); };
+    channel->socket = stream::connect(this->loop, started->address, std::move(handlers));
+}
+
+void client::dispatch(const std::shared_ptr<connection>& channel,
+                      const std::shared_ptr<call>& started) {
+    channel->current = started;
+    started->channel = channel;
+    started->sent = true;
+    channel->parser.expect_no_body(started->head);
+    channel->socket->write(std::move(started->bytes));
+}
+
+void client::on_data(const std::shared_ptr<connection>& channel, std::string_view bytes) {
+    while (!bytes.empty() && !channel->dropped) {
+        if (!channel->current) {
+            // Nothing was asked for: the bytes belong to no request.
+            this->drop(channel);
+            return;
+        }
+        std::size_t used = 0;
+        const bool complete = channel->parser.feed(bytes, used);
+        bytes.remove_prefix(std::min(used, bytes.size()));
+        if (complete) {
+            this->complete(channel, bytes);
+        } else if (channel->parser.error()) {
+            this->fail(channel, wire_errc::malformed_response);
+        }
+    }
+}
+
+void client::complete(const std::shared_ptr<connection>& channel, std::string_view rest) {
+    call_result outcome;
+    outcome.message = channel->parser.take();
+    const auto answered = channel->current;
+    if (answered->options.accept && !answered->options.accept(outcome.message)) {
+        if (!outcome.message.keep_alive) {
+            this->fail(channel, wire_errc::closed_before_response);
+        }
+        return;
+    }
+    channel->current = nullptr;
+    answered->channel = nullptr;
+    if (outcome.message.keep_alive && rest.empty() && channel->socket->pending() == 0) {
+        this->keep(channel, outcome.message, event_loop::now());
+    } else {
+        this->drop(channel);
+    }
+    this->end_call(answered, std::move(outcome));
+}
+
+void client::on_end(const std::shared_ptr<connection>& channel, stream_end how) {
+    if (channel->dropped) {
+        return;
+    }
+    if (!channel->current) {
+        this->drop(channel);
+        return;
+    }
+    const bool in_message = channel->parser.in_message();
+    if (how == stream_end::closed_by_peer && channel->parser.feed_end()) {
+        this->complete(channel, {});
+        return;
+    }
+    if (how == stream_end::refused) {
+        this->fail(channel, wire_errc::refused);
+    } else if (how == stream_end::closed_by_peer) {
+        this->fail(channel, in_message ? wire_errc::truncated : wire_errc::closed_before_response);
+    } else {
+        this->fail(channel, channel->connected ? wire_errc::reset : wire_errc::connect_timeout);
+    }
+}
+
+void client::fail(const std::shared_ptr<connection>& channel, wire_errc code) {
+    const auto failed = channel->current;
+    channel->current = nullptr;
+    this->drop(channel);
+    if (failed) {
+        failed->channel = nullptr;
+        call_result outcome;
+        outcome.error = code;
+        this->end_call(failed, std::move(outcome));
+    }
+}
+
+void client::keep(const std::shared_ptr<connection>& channel, const response& message,
+                  time_point now) {
+    channel->used = true;
+    channel->idle_until = now + idle_time(message, this->limits);
+    auto& channels = this->idle[channel->address];
+    std::erase_if(channels, [this, now](const std::shared_ptr<connection>& other) {
+        if (other->dropped || other->idle_until <= now) {
+            this->drop(other);
+            return true;
+        }
+        return false;
+    });
+    channels.push_back(channel);
+}
+
+void client::drop(const std::shared_ptr<connection>& channel) {
+    if (!channel->dropped) {
+        channel->dropped = true;
+        // Releases the handlers, which refer to the connection.
+        channel->socket->close();
+    }
+}
+
+void client::end_call(const std::shared_ptr<call>& ended, call_result outcome) {
+    if (this->calls.erase(ended->id.value()) == 0) {
+        return;
+    }
+    this->loop.cancel(ended->timeout);
+    this->loop.cancel(ended->connect_timeout);
+    if (ended->channel) {
+        ended->channel->current = nullptr;
+        this->drop(ended->channel);
+        ended->channel = nullptr;
+    }
+    outcome.sent = ended->sent;
+    outcome.reused = ended->reused;
+    const call_handler done = std::move(ended->done);
+    if (done) {
+        done(std::move(outcome));
+    }
+}
+
+void client::cancel(call_id id) {
+    const auto found = this->calls.find(id.value());
+    if (found != this->calls.end()) {
+        const auto cancelled = found->second;
+        cancelled->done = nullptr;
+        this->end_call(cancelled, {});
+    }
+}
+
+}  // namespace greengagechute::wire
--- /dev/null
+++ b/libs/wire/src/server.cpp
@@ -0,0 +1,277 @@
+#include "wire/server.h"
+
+#include <deque>
+#include <utility>
+#include <vector>
+
+namespace greengagechute::wire {
+
+struct server::state {
+    event_loop& loop;
+    request_handler handler;
+    server_limits limits;
+    std::set<std::shared_ptr<server_connection>> connections;
+    std::unique_ptr<listener> listening;
+    bool closing = false;
+};
+
+/// A caller's connection.
+class server_connection : public std::enable_shared_from_this<server_connection> {
+public:
+    server_connection(std::shared_ptr<server::state> server_state, std::shared_ptr<stream> opened)
+        : owner(std::move(server_state)), socket(std::move(opened)) {}
+
+    void start() {
+        this->parser.set_limits(this->owner->limits.message);
+        stream_handlers handlers;
+        const std::weak_ptr<server_connection> weak = this->weak_from_this();
+        handlers.data = [weak](std::string_view bytes) {
+            if (const auto own = weak.lock()) {
+                own->buffered.append(bytes);
+                own->read();
+            }
+        };
+        handlers.ended = [weak](stream_end) {
+            if (const auto own = weak.lock()) {
+                own->end();
+            }
+        };
+        this->socket->set_handlers(std::move(handlers));
+        this->watch();
+    }
+
+    bool idle() const {
+        return this->waiting.empty() && this->buffered.empty() && !this->parser.in_message();
+    }
+
+    bool is_first(const incoming* asked) const {
+        return !this->waiting.empty() && this->waiting.front().get() == asked;
+    }
+
+    /// Sends the answers that are ready and not behind an unanswered request.
+    void flush() {
+        const auto keep = this->shared_from_this();
+        while (!this->waiting.empty() && this->waiting.front()->done && !this->ended) {
+            const auto next = this->waiting.front();
+            this->waiting.pop_front();
+            // While the server closes, requests that were read before this answer still get theirs.
+            const bool close = next->close_after || !next->content.keep_alive ||
+                               (this->owner->closing && this->waiting.empty());
+            this->socket->write(
+                serialize(next->reply, next->content.method == "HEAD", close));
+            next->reply = {};
+            if (close) {
+                this->finish();
+                return;
+            }
+        }
+        if (this->ended) {
+            return;
+        }
+        if (!this->waiting.empty() && this->waiting.front()->first) {
+            const auto first = std::exchange(this->waiting.front()->first, nullptr);
+            first();
+        }
+        this->watch();
+        this->read();
+    }
+
+    /// Closes a connection that awaits nothing.
+    void finish() {
+        if (this->ended) {
+            return;
+        }
+        this->socket->finish();
+        this->end();
+    }
+
+private:
+    void read() {
+        if (this->reading || this->ended) {
+            return;
+        }
+        this->reading = true;
+        const auto keep = this->shared_from_this();
+        while (!this->buffered.empty() && !this->refusing && !this->ended &&
+               this->waiting.size() <
+                   (this->owner->closing ? 1 : this->owner->limits.pipeline)) {
+            const time_point now = event_loop::now();
+            std::size_t used = 0;
+            const bool complete = this->parser.feed(this->buffered, used);
+            this->buffered.erase(0, used);
+            if (complete) {
+                this->accept(now);
+            } else if (this->parser.error()) {
+                this->refuse(this->parser.error());
+            } else if (this->parser.wants_continue() && !this->continued) {
+                this->continued = true;
+                if (this->waiting.empty()) {
+                    this->socket->write("HTTP/1.1 100 Continue\r\n\r\n");
+                }
+            }
+        }
+        this->reading = false;
+        if (!this->ended) {
+            // A caller that sends more than the pipeline holds waits in its own socket.
+            this->socket->set_reading(this->buffered.size() < buffer_limit);
+            this->watch();
+        }
+    }
+
+    void accept(time_point now) {
+        this->continued = false;
+        auto next = std::make_shared<incoming>();
+        next->owner = this->weak_from_this();
+        next->content = this->parser.take();
+        next->arrival = now;
+        if (!next->content.keep_alive) {
+            // What follows a request that asks to close is no request.
+            this->refusing = true;
+        }
+        this->waiting.push_back(next);
+        this->owner->handler(next);
+    }
+
+    /// Answers what cannot be read, in its turn, and closes.
+    void refuse(const status& error) {
+        this->refusing = true;
+        this->buffered.clear();
+        auto last = std::make_shared<incoming>();
+        last->owner = this->weak_from_this();
+        this->waiting.push_back(last);
+        response reply;
+        if (error == wire_errc::header_too_large) {
+            reply.code = 431;
+            reply.reason = "Request Header Fields Too Large";
+        } else if (error == wire_errc::body_too_large) {
+            reply.code = 413;
+            reply.reason = "Content Too Large";
+        } else {
+            reply.code = 400;
+            reply.reason = "Bad Request";
+        }
+        last->answer(std::move(reply), true);
+    }
+
+    /// Sets the time-out that applies now: for an unfinished request or for an idle connection.
+    void watch() {
+        this->owner->loop.cancel(this->timer);
+        if (this->ended || !this->waiting.empty()) {
+            return;
+        }
+        const bool unfinished = !this->buffered.empty() || this->parser.in_message();
+        const std::weak_ptr<server_connection> weak = this->weak_from_this();
+        this->timer = this->owner->loop.call_after(
+            unfinished ? this->owner->limits.header_timeout : this->owner->limits.idle_timeout,
+            [weak] {
+                const auto own = weak.lock();
+                if (own && own->waiting.empty()) {
+                    own->finish();
+                }
+            });
+    }
+
+    void end() {
+        if (this->ended) {
+            return;
+        }
+        this->ended = true;
+        const auto keep = this->shared_from_this();
+        this->owner->loop.cancel(this->timer);
+        this->owner->connections.erase(keep);
+        for (const auto& request_left : this->waiting) {
+            if (!request_left->done && request_left->left) {
+                const auto left = std::exchange(request_left->left, nullptr);
+                left();
+            }
+        }
+        this->waiting.clear();
+    }
+
+    /// Unparsed bytes of a connection beyond which it is not read.
+    static constexpr std::size_t buffer_limit = 65'536;
+
+    std::shared_ptr<server::state> owner;
+    std::shared_ptr<stream> socket;
+    request_parser parser;
+    std::string buffered;
+    std::deque<std::shared_ptr<incoming>> waiting;
+    timer_id timer = 0;
+    bool reading = false;
+    bool refusing = false;
+    bool continued = false;
+    bool ended = false;
+};
+
+bool incoming::is_first() const {
+    const auto connection = this->owner.lock();
+    return connection && connection->is_first(this);
+}
+
+void incoming::answer(response message, bool close) {
+    if (this->done) {
+        return;
+    }
+    this->done = true;
+    this->close_after = close;
+    this->reply = std::move(message);
+    this->left = nullptr;
+    if (const auto connection = this->owner.lock()) {
+        connection->flush();
+    }
+}
+
+server::server(event_loop& loop, request_handler handler)
+    : implementation(std::make_shared<state>(state{loop, std::move(handler), {}, {}, {}, false})) {
+    const std::weak_ptr<state> weak = this->implementation;
+    this->implementation->listening =
+        std::make_unique<listener>(loop, [weak](const std::shared_ptr<stream>& opened) {
+            if (const auto own = weak.lock()) {
+                auto connection = std::make_shared<server_connection>(own, opened);
+                own->connections.insert(connection);
+                connection->start();
+            }
+        });
+}
+
+server::~server() {
+    this->implementation->listening.reset();
+    const std::vector<std::shared_ptr<server_connection>> open(
+        this->implementation->connections.begin(), this->implementation->connections.end());
+    for (const auto& connection : open) {
+        connection->finish();
+    }
+}
+
+status server::open(const endpoint& address) {
+    return this->implementation->listening->open(address);
+}
+
+std::uint16_t server::port() const {
+    return this->implementation->listening->port();
+}
+
+void server::set_limits(const server_limits& limits) {
+    this->implementation->limits = limits;
+}
+
+void server::start_closing() {
+    this->implementation->closing = true;
+}
+
+bool server::close_idle() {
+    const std::vector<std::shared_ptr<server_connection>> open(
+        this->implementation->connections.begin(), this->implementation->connections.end());
+    for (const auto& connection : open) {
+        if (connection->idle()) {
+            connection->finish();
+        }
+    }
+    return this->implementation->connections.empty();
+}
+
+std::size_t server::connections() const {
+    return this->implementation->connections.size();
+}
+
+}  // namespace greengagechute::wire
