Tell a grant's answer from a release's when the state has changed

Ruled out: a new life of the server (the log shows the same start time) and a lease that had run out.

--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -619,6 +619,11 @@
         this->on_failure(one, wire::wire_errc::malformed_response, now);
         return;
     }
+    if (message.until_close && !one->caller->is_alone()) {
+        // It can only be passed on by closing the caller's connection, which would cut the others.
+        this->on_failure(one, wire::wire_errc::truncated, now);
+        return;
+    }
     const bool failed = message.code >= code::first_server_failure;
     if (failed && message.code != code::gateway_timeout &&
         one->chosen->kind == request_kind::safe && this->may_retry(*one, now)) {
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -14,7 +14,7 @@
 constexpr milliseconds gather_servers{150};
 constexpr milliseconds gather_none{0};
 /// The platform sends new callers until it has missed two answers, one a second.
-constexpr milliseconds callers_stop{2'300};
+constexpr milliseconds callers_stop{2'500};
 constexpr milliseconds drain_poll{50};
 /// Kept for the last answers to leave.
 constexpr milliseconds end_margin{400};
@@ -50,6 +50,7 @@
     std::shared_ptr<const catalogue> config;
     bool draining = false;
     time_point drain_began;
+    bool reading_stopped = false;
 
     state(wire::event_loop& owner_loop, table_store& store, server_orders& orders,
           telemetry::logger& logger, telemetry::metrics& metrics, const row_format& rows,
@@ -167,6 +168,7 @@
                     {{"server", row.key},
                      {"present", entry.has_value()},
                      {"draining", entry && entry->draining},
+                     {"born", entry ? entry->life.born : 0},
                      {"version", row.version}});
             }
             if (entry) {
@@ -216,6 +218,11 @@
         const milliseconds since = std::chrono::duration_cast<milliseconds>(
             wire::event_loop::now() - this->drain_began);
         const bool answered = this->requests.open_requests() == 0;
+        if (since > callers_stop && !this->reading_stopped) {
+            // What is taken later could not be answered before the process ends.
+            this->reading_stopped = true;
+            this->front_server.stop_reading();
+        }
         if ((since > callers_stop && answered && this->front_server.close_idle()) ||
             since > this->settings.grace - end_margin) {
             telemetry::log_info(this->log, "stopped",
--- a/libs/ranges/include/ranges/lease_keeper.h
+++ b/libs/ranges/include/ranges/lease_keeper.h
@@ -116,6 +116,8 @@
         /// The owner has confirmed a grant of this coordinator.
         bool confirmed = false;
         bool in_flight = false;
+        /// What the order under way asks for; the state may have changed since it was sent.
+        order::kind flight = order::kind::grant;
         int failures = 0;
         int connect_failures = 0;
         time_point next_send;
--- a/libs/ranges/src/lease_keeper.cpp
+++ b/libs/ranges/src/lease_keeper.cpp
@@ -107,6 +107,7 @@
             one.next_send = now + this->settings.renew_every;
         }
         one.in_flight = true;
+        one.flight = next.what;
         orders.push_back(std::move(next));
     }
     return orders;
@@ -146,14 +147,14 @@
             one.next_send = now + retry_pause;
             return;
         case order_outcome::not_sent:
-            if (one.state == phase::held) {
+            if (one.flight == order::kind::grant) {
                 one.ends = std::max(one.ends_before, one.unanswered_until);
             }
             ++one.connect_failures;
             this->fail(one, now);
             return;
         case order_outcome::unanswered:
-            if (one.state == phase::held) {
+            if (one.flight == order::kind::grant) {
                 one.unanswered_until = std::max(one.unanswered_until, one.ends);
             }
             this->fail(one, now);
@@ -163,9 +164,11 @@
     }
     one.failures = 0;
     one.connect_failures = 0;
-    if (one.state == phase::held) {
+    if (one.flight == order::kind::grant) {
         one.confirmed = true;
-        one.handover.clear();
+        if (one.state == phase::held) {
+            one.handover.clear();
+        }
     } else if (one.state == phase::releasing) {
         one.handover = handover;
         // A grant without an answer may still take effect after the release.
--- a/libs/wire/include/wire/server.h
+++ b/libs/wire/include/wire/server.h
@@ -34,6 +34,8 @@
     time_point arrived() const { return this->arrival; }
     /// No earlier request of the connection awaits its answer.
     bool is_first() const;
+    /// No other request of the connection has been read and awaits its answer.
+    bool is_alone() const;
     /// Called when the caller leaves before the answer is given.
     void on_left(std::function<void()> handler) { this->left = std::move(handler); }
     /// Called when this becomes the first unanswered request.
@@ -69,6 +71,8 @@
     void set_limits(const server_limits& limits);
     /// Each answer from now on closes its connection.
     void start_closing();
+    /// Takes no further connection or request; requests that were read get their answers.
+    void stop_reading();
     /// Closes the connections that await nothing; true if no connection is left.
     bool close_idle();
     std::size_t connections() const;
--- a/libs/wire/src/message.cpp
+++ b/libs/wire/src/message.cpp
@@ -279,7 +279,9 @@
     std::string bytes = "HTTP/1.1 " + std::to_string(message.code) + " " + message.reason + "\r\n";
     append_headers(bytes, message.headers);
     const bool bodiless = message.code == no_content || message.code == not_modified;
-    if (!bodiless && !to_head) {
+    // A body that ended with its connection may have been cut short: its receiver must not take it
+    // as framed.
+    if (!bodiless && !to_head && !message.until_close) {
         bytes.append("Content-Length: ").append(std::to_string(message.body.size()));
         bytes.append("\r\n");
     }
--- a/libs/wire/src/server.cpp
+++ b/libs/wire/src/server.cpp
@@ -48,6 +48,10 @@
         return !this->waiting.empty() && this->waiting.front().get() == asked;
     }
 
+    bool is_alone(const incoming* asked) const {
+        return this->waiting.size() <= 1 && this->is_first(asked);
+    }
+
     /// Sends the answers that are ready and not behind an unanswered request.
     void flush() {
         const auto keep = this->shared_from_this();
@@ -55,7 +59,8 @@
             const auto next = this->waiting.front();
             this->waiting.pop_front();
             // While the server closes, requests that were read before this answer still get theirs.
-            const bool close = next->close_after || !next->content.keep_alive ||
+            const bool close = next->close_after || next->reply.until_close ||
+                               !next->content.keep_alive ||
                                (this->owner->closing && this->waiting.empty());
             this->socket->write(
                 serialize(next->reply, next->content.method == "HEAD", close));
@@ -76,6 +81,15 @@
         this->read();
     }
 
+    /// Leaves further requests unread, which tells the caller that they have not run.
+    void stop_reading() {
+        this->refusing = true;
+        this->buffered.clear();
+        if (this->waiting.empty()) {
+            this->finish();
+        }
+    }
+
     /// Closes a connection that awaits nothing.
     void finish() {
         if (this->ended) {
@@ -208,6 +222,11 @@
     return connection && connection->is_first(this);
 }
 
+bool incoming::is_alone() const {
+    const auto connection = this->owner.lock();
+    return !connection || connection->is_alone(this);
+}
+
 void incoming::answer(response message, bool close) {
     if (this->done) {
         return;
@@ -259,6 +278,15 @@
     this->implementation->closing = true;
 }
 
+void server::stop_reading() {
+    this->implementation->listening->close();
+    const std::vector<std::shared_ptr<server_connection>> open(
+        this->implementation->connections.begin(), this->implementation->connections.end());
+    for (const auto& connection : open) {
+        connection->stop_reading();
+    }
+}
+
 bool server::close_idle() {
     const std::vector<std::shared_ptr<server_connection>> open(
         this->implementation->connections.begin(), this->implementation->connections.end());
