Move keys also while a renewal is under way

Ruled out: lost commits (none was pending) and refused releases (none was sent). Change: a lease may be split and released while a renewal is under way; the part whose answer is not recorded counts its grant as unanswered. The first assignment waits until registrations have settled.

--- a/libs/gateway/include/gateway/balancer.h
+++ b/libs/gateway/include/gateway/balancer.h
@@ -33,6 +33,8 @@
 /// What a host knows of one server.
 struct server_state {
     server_entry entry;
+    /// Its registration lapsed, and it may have left.
+    bool doubtful = false;
     int in_flight = 0;
     stated_load stated;
     time_point stated_at;
--- a/libs/gateway/include/gateway/coordinator.h
+++ b/libs/gateway/include/gateway/coordinator.h
@@ -81,6 +81,7 @@
     void on_table(const table_content& content, bool whole);
     void set_catalogue(std::shared_ptr<const catalogue> content);
     void on_servers();
+    void set_store_reachable(bool reachable);
     report_answer on_report(const host_report& report, time_point now);
     /// Gives the term up, for a planned end of this process.
     void resign();
--- a/libs/gateway/include/gateway/directory.h
+++ b/libs/gateway/include/gateway/directory.h
@@ -33,9 +33,9 @@
 };
 
 struct directory_settings {
-    /// After an outage of the store, entries that lapsed meanwhile are back within this time: two
-    /// seconds by the users' second letter, and the time of a notice.
-    milliseconds return_time{2'200};
+    /// After an outage of the store, entries that lapsed meanwhile are back within about two
+    /// seconds (users' second letter); less the time in which a request may be on its way.
+    milliseconds return_time{1'900};
 };
 
 /// Servers that have registered.
@@ -50,6 +50,8 @@
     void replace(const std::vector<server_entry>& entries, bool after_outage, time_point now);
     /// Removes entries whose return was awaited in vain; true if there was one.
     bool expire(time_point now);
+    /// The entry lapsed during an outage of the store and is not back yet.
+    bool is_awaited(const server_id& id) const { return this->awaited.contains(id); }
     const server_entry* find(const server_id& id) const;
     const std::map<server_id, server_entry>& servers() const { return this->entries; }
     bool loaded() const { return this->has_content; }
--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -94,7 +94,9 @@
     time_point last_tick;
     time_point last_balance;
     time_point store_reached;
+    /// The last commit was answered.
     bool store_ok = true;
+    bool store_reachable = true;
 
     std::uint64_t version_of(const std::string& row) const {
         const auto found = this->rows.find(row);
@@ -125,7 +127,7 @@
     : implementation(new state{loop, peers, store, orders, servers, log, std::move(settings),
                                std::move(owners), std::move(keys), std::move(hosts),
                                std::mt19937_64(seed), nullptr, {}, false, std::nullopt,
-                               {}, false, false, false, 0, {}, false, {}, {}, {}, {}, {}, {}, true}) {
+                               {}, false, false, false, 0, {}, false, {}, {}, {}, {}, {}, {}, true, true}) {
     this->implementation->identity =
         this->implementation->settings.host.value() + "/" +
         std::to_string(this->implementation->random());
@@ -567,6 +569,10 @@
         });
 }
 
+void coordinator::set_store_reachable(bool reachable) {
+    this->implementation->store_reachable = reachable;
+}
+
 void coordinator::on_servers() {
     state& own = *this->implementation;
     for (const auto& [id, entry] : own.servers.servers()) {
@@ -578,7 +584,7 @@
     state& own = *this->implementation;
     report_answer answer;
     answer.coordinating = own.leading;
-    answer.has_store = own.store_ok;
+    answer.has_store = own.store_ok && own.store_reachable;
     if (own.leading) {
         own.reports[report.host] = now;
         for (const auto& [service, keys] : report.keys) {
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -44,6 +44,8 @@
 constexpr int pump_limit = 256;
 /// A leaving owner may be used for this long: `drainS` of the users' platform is 2 s or more.
 constexpr milliseconds leaving_owner{1'500};
+/// Puts servers that may have left behind all others.
+constexpr double doubtful_cost_ms = 60'000;
 constexpr milliseconds least_retry_after{60};
 constexpr int milli_per_second = 1'000;
 
@@ -282,6 +284,7 @@
             server.leaving_since = now;
         }
         server.entry = entry;
+        server.doubtful = servers.is_awaited(id);
     }
     for (auto& [id, service] : own.services) {
         own.schedule_pump(id, milliseconds{0});
@@ -437,7 +440,8 @@
             continue;
         }
         const double ms = expected_ms(server, this->far(server.entry), rules, now) +
-                          this->draw();  // Spreads requests over equal servers.
+                          this->draw() +  // Spreads requests over equal servers.
+                          (server.doubtful ? doubtful_cost_ms : 0);
         if (best == nullptr || ms < best_ms) {
             best = &server;
             best_ms = ms;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -18,7 +18,7 @@
 constexpr milliseconds drain_poll{50};
 /// Kept for the last answers to leave.
 constexpr milliseconds end_margin{400};
-constexpr milliseconds expire_every{200};
+constexpr milliseconds expire_every{50};
 
 wire::response text_reply(int status, std::string_view reason, std::string body) {
     wire::response reply;
@@ -191,6 +191,7 @@
 
     void expire_servers() {
         const time_point now = wire::event_loop::now();
+        this->ownership.set_store_reachable(this->owner_watch.reachable());
         if (this->servers.expire(now)) {
             this->servers_changed(now);
         }
--- a/libs/ranges/include/ranges/lease_keeper.h
+++ b/libs/ranges/include/ranges/lease_keeper.h
@@ -23,10 +23,11 @@
     int clock_slow_percent = 2;
     /// Time an order may take to arrive: several round trips between regions.
     milliseconds delivery{150};
+    /// The first assignment waits until no server has joined for this long: servers register within
+    /// about a second of a common start.
+    milliseconds settle{900};
     /// Largest ratio of a server's load to its share before keys are moved away.
     double overload = 1.25;
-    /// Ranges of one server; each costs one renewal.
-    std::size_t ranges_per_server = 5;
     /// Ranges that move for balance at the same time.
     std::size_t balance_moves = 4;
     /// Requests a second below which load is not balanced.
@@ -146,6 +147,8 @@
     std::vector<lease> leases;
     std::vector<candidate> candidates;
     std::optional<std::vector<lease>> pending;
+    std::size_t candidates_seen = 0;
+    time_point candidates_changed;
     bool seen_higher_fence = false;
 };
 
--- a/libs/ranges/src/lease_keeper.cpp
+++ b/libs/ranges/src/lease_keeper.cpp
@@ -65,6 +65,10 @@
 
 void lease_keeper::set_candidates(const std::vector<candidate>& servers, time_point now) {
     this->candidates = servers;
+    if (servers.size() != this->candidates_seen) {
+        this->candidates_seen = servers.size();
+        this->candidates_changed = now;
+    }
     for (lease& one : this->leases) {
         if (this->replaced(one.owner) && one.state != phase::free) {
             // The owner's process has ended, and its next life holds nothing.
@@ -223,6 +227,9 @@
     }
     std::vector<lease> planned = this->leases;
     if (planned.empty()) {
+        if (now - this->candidates_changed < this->settings.settle) {
+            return std::nullopt;
+        }
         // First assignment: contiguous shares by weight.
         double total = 0;
         for (const candidate& one : this->candidates) {
@@ -377,6 +384,11 @@
     lease second = whole;
     second.id = lease_id(++this->last_id);
     second.keys.first = first_of_second;
+    if (second.in_flight) {
+        // The answer to the order under way is recorded for the first part only.
+        second.in_flight = false;
+        second.unanswered_until = std::max(second.unanswered_until, second.ends);
+    }
     whole.keys.last = first_of_second - 1;
     const auto position = std::find_if(this->leases.begin(), this->leases.end(),
                                        [&whole](const lease& one) { return one.id == whole.id; });
@@ -384,7 +396,11 @@
 }
 
 void lease_keeper::balance(const key_load& load, time_point now) {
-    if (this->pending || load.total() < this->settings.balance_from) {
+    if (this->pending) {
+        return;
+    }
+    this->merge_neighbours(now);
+    if (load.total() < this->settings.balance_from) {
         return;
     }
     for (std::size_t round = 0; round < this->settings.balance_moves; ++round) {
@@ -430,8 +446,7 @@
         double source_load = 0;
         for (lease& one : this->leases) {
             const double own = load.of(one.keys);
-            if (one.owner == hottest->life && one.state == phase::held && !one.in_flight &&
-                one.confirmed && !one.destination && (source == nullptr || own > source_load)) {
+            if (one.owner == hottest->life && one.state == phase::held && one.confirmed && !one.destination && (source == nullptr || own > source_load)) {
                 source = &one;
                 source_load = own;
             }
