Push owners from the coordinator to the hosts

Hosts watched the owners in the store, one call a host and change; the coordinator now keeps each report until owners change and answers with the changes. Only the coordinator reads and writes the owners' table.

--- a/libs/gateway/include/gateway/coordinator.h
+++ b/libs/gateway/include/gateway/coordinator.h
@@ -26,9 +26,14 @@
     host_id host;
     /// Where the other hosts reach this one.
     wire::endpoint address;
-    /// Time between reports to the coordinator; it is missed after two of them.
-    milliseconds report_every{400};
-    milliseconds report_timeout{600};
+    /// The coordinator keeps a report until owners change, at most for this long; it is missed
+    /// after two reports without an answer.
+    milliseconds report_kept{400};
+    /// Pause between an answer and the next report.
+    milliseconds report_pause{30};
+    milliseconds report_timeout{900};
+    /// Pause after a report without an answer.
+    milliseconds report_retry{250};
     /// The coordinator looks for due orders at this interval.
     milliseconds tick{50};
     milliseconds balance_every{500};
@@ -44,6 +49,19 @@
     host_id host;
     std::map<service_id, std::vector<ranges::key_position>> keys;
     std::map<service_id, std::map<server_id, speed_sample>> speeds;
+    /// Versions of the owners' tables that the host has, by the coordinator's count; 0 is none.
+    std::map<service_id, std::uint64_t> owners;
+    /// Term in which they were counted.
+    std::uint64_t term = 0;
+};
+
+/// Owners that a host lacks.
+struct owners_update {
+    /// By the coordinator's count, which starts anew with each term.
+    std::uint64_t version = 0;
+    /// `ranges` covers all keys; otherwise it holds the changes since the host's version.
+    bool whole = false;
+    std::vector<ranges::range_owner> ranges;
 };
 
 /// What the coordinator answers.
@@ -53,6 +71,8 @@
     bool has_store = true;
     /// Hosts that report to it, itself included.
     int hosts = 1;
+    std::uint64_t term = 0;
+    std::map<service_id, owners_update> owners;
 };
 
 std::string encode(const host_report& report);
@@ -60,8 +80,10 @@
 std::string encode(const report_answer& answer);
 bool decode(std::string_view text, report_answer& answer);
 
-/// Name of the project's table in the store.
-inline constexpr std::string_view ownership_table = "greengagechute";
+/// The project's tables in the store: the coordinator's term, which all hosts watch, and the
+/// owners, which only a new coordinator reads.
+inline constexpr std::string_view term_table = "greengagechute-term";
+inline constexpr std::string_view owners_table = "greengagechute-owners";
 
 /// One of the hosts assigns the keys of divided services and keeps their leases; its term stands in
 /// a row of the store. The others report to it, and one of them takes over when it is lost.
@@ -80,12 +102,14 @@
     ~coordinator();
 
     void start();
-    /// Rows of the project's table.
-    void on_table(const table_content& content, bool whole);
+    /// Rows of the term's table.
+    void on_term(const table_content& content, bool whole);
     void set_catalogue(std::shared_ptr<const catalogue> content);
     void on_servers();
     void set_store_reachable(bool reachable);
-    report_answer on_report(const host_report& report, time_point now);
+    using answer_handler = std::function<void(const report_answer&)>;
+    /// Answers when owners change, or after `report_kept`.
+    void on_report(const host_report& report, answer_handler answer, time_point now);
     /// Gives the term up, for a planned end of this process.
     void resign();
     bool coordinating() const;
--- a/libs/gateway/include/gateway/store.h
+++ b/libs/gateway/include/gateway/store.h
@@ -14,6 +14,8 @@
 namespace greengagechute::gateway {
 
 struct stored_row {
+    /// Only needed for commits.
+    std::string table;
     std::string key;
     std::string value;
     /// Version of the row; 0 means that it does not exist.
@@ -56,7 +58,7 @@
     virtual void watch(const std::string& table, std::uint64_t after, milliseconds wait,
                        content_handler done) = 0;
     /// Writes `rows` if each row of `expected` has the version that it has there.
-    virtual void commit(const std::string& table, const std::vector<stored_row>& expected,
+    virtual void commit(const std::vector<stored_row>& expected,
                         const std::vector<stored_row>& rows, commit_handler done) = 0;
 };
 
--- a/libs/gateway/include/gateway/table_watch.h
+++ b/libs/gateway/include/gateway/table_watch.h
@@ -31,6 +31,7 @@
     void start();
     /// Reads the table whole once more.
     void refresh();
+    void set_gather(milliseconds pause) { this->gather = pause; }
     bool reachable() const { return this->failures == 0 && this->has_content; }
     time_point last_success() const { return this->succeeded_at; }
 
--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <optional>
 #include <utility>
 
@@ -12,10 +13,11 @@
 namespace {
 
 constexpr std::string_view term_row = "coordinator";
-constexpr std::string_view owners_prefix = "owners/";
 /// Fences of one term; a term with more grants than that would run into the next one.
 constexpr unsigned term_shift = 24;
 constexpr milliseconds commit_retry{150};
+/// Changes of owners that are kept for hosts that lack them; others get the whole table.
+constexpr std::size_t history_length = 64;
 /// A host that has not reported for this long does not count.
 constexpr milliseconds host_age{2'500};
 constexpr int ok = 200;
@@ -69,6 +71,17 @@
     std::map<server_id, double> speeds;
     /// A table that is being stored.
     bool committing = false;
+    /// The stored table, and the changes that led to it, for the hosts.
+    ranges::range_table stored;
+    std::uint64_t version = 0;
+    std::deque<std::vector<ranges::range_owner>> history;
+};
+
+/// A report that waits for owners to change.
+struct kept_report {
+    host_report report;
+    coordinator::answer_handler answer;
+    time_point until;
 };
 
 struct coordinator::state {
@@ -84,37 +97,55 @@
     std::function<void(int)> set_hosts;
     std::mt19937_64 random;
 
-    std::shared_ptr<const catalogue> config;
-    std::map<std::string, stored_row> rows;
+    std::shared_ptr<const catalogue> config{};
+    /// Rows of both tables, by table and key.
+    std::map<std::pair<std::string, std::string>, stored_row> rows{};
     bool table_loaded = false;
-    std::optional<term_content> term;
+    std::optional<term_content> term{};
     /// Identifies this process among the holders of a term, as a host may restart.
-    std::string identity;
+    std::string identity{};
     bool leading = false;
     bool taking_over = false;
     bool resigned = false;
     int misses = 0;
-    time_point leader_without_store_since;
+    time_point leader_without_store_since{};
     bool leader_without_store = false;
-    std::map<service_id, kept_service> kept;
-    std::map<host_id, time_point> reports;
+    std::map<service_id, kept_service> kept{};
+    std::map<host_id, time_point> reports{};
     /// Also of servers whose entry is gone, which still have to release their keys.
-    std::map<server_id, wire::endpoint> addresses;
-    time_point last_tick;
-    time_point last_balance;
-    time_point store_reached;
+    std::map<server_id, wire::endpoint> addresses{};
+    time_point last_tick{};
+    time_point last_balance{};
+    time_point store_reached{};
     /// The last commit was answered.
     bool store_ok = true;
     bool store_reachable = true;
 
-    std::uint64_t version_of(const std::string& row) const {
-        const auto found = this->rows.find(row);
+    /// Reports that wait for an answer.
+    std::vector<kept_report> waiting{};
+    /// Owners that this host knows, and the coordinator's count of them.
+    std::map<service_id, ranges::range_table> known_owners{};
+    std::map<service_id, std::uint64_t> known_versions{};
+    std::uint64_t known_term = 0;
+
+    std::uint64_t version_of(std::string_view table, const std::string& key) const {
+        const auto found = this->rows.find({std::string(table), key});
         return found == this->rows.end() ? 0 : found->second.version;
     }
+    const stored_row* owners_row(const service_id& service) const {
+        const auto found = this->rows.find({std::string(owners_table), service.value()});
+        return found == this->rows.end() ? nullptr : &found->second;
+    }
 
-    void on_row(const stored_row& row);
+    bool remember(std::string_view table, const stored_row& row);
+    void on_term_row(const stored_row& row);
+    void read_rows(const std::function<void(bool)>& done);
     void report();
-    void schedule_report();
+    void schedule_report(milliseconds pause);
+    void on_answer(const report_answer& answer);
+    report_answer make_answer(const host_report& report, time_point now) const;
+    void answer_waiting(bool all, time_point now);
+    void set_stored(const service_id& service, ranges::range_table table);
     void leader_lost(std::string_view reason);
     void take_over();
     void confirm_takeover(const term_content& mine);
@@ -126,7 +157,6 @@
     void send(const service_id& service, const ranges::order& what);
     void commit(const service_id& service, const ranges::range_table& table);
     void resolve(const service_id& service, const std::string& value);
-    void publish(const service_id& service, const std::string& value);
     bool is_isolated(time_point now) const;
 };
 
@@ -134,36 +164,9 @@
                          server_orders& orders, const directory& servers, telemetry::logger& log,
                          coordinator_settings settings, owners_handler owners,
                          report_source reports, std::function<void(int)> hosts, std::uint64_t seed)
-    : implementation(new state{loop,
-                               peers,
-                               store,
-                               orders,
-                               servers,
-                               log,
-                               std::move(settings),
-                               std::move(owners),
-                               std::move(reports),
-                               std::move(hosts),
-                               std::mt19937_64(seed),
-                               nullptr,
-                               {},
-                               false,
-                               std::nullopt,
-                               {},
-                               false,
-                               false,
-                               false,
-                               0,
-                               {},
-                               false,
-                               {},
-                               {},
-                               {},
-                               {},
-                               {},
-                               {},
-                               true,
-                               true}) {
+    : implementation(new state{loop, peers, store, orders, servers, log, std::move(settings),
+                               std::move(owners), std::move(reports), std::move(hosts),
+                               std::mt19937_64(seed)}) {
     this->implementation->identity = this->implementation->settings.host.value() + "/" +
                                      std::to_string(this->implementation->random());
 }
@@ -175,84 +178,106 @@
 }
 
 void coordinator::start() {
-    this->implementation->schedule_report();
+    this->implementation->schedule_report(milliseconds{0});
 }
 
 void coordinator::set_catalogue(std::shared_ptr<const catalogue> content) {
     this->implementation->config = std::move(content);
 }
 
-void coordinator::on_table(const table_content& content, bool whole) {
+void coordinator::on_term(const table_content& content, bool whole) {
     state& own = *this->implementation;
     own.store_reached = wire::event_loop::now();
     if (whole) {
         own.table_loaded = true;
     }
     for (const stored_row& row : content.rows) {
-        own.on_row(row);
+        if (row.key == term_row) {
+            own.on_term_row(row);
+        }
     }
 }
 
-void coordinator::state::on_row(const stored_row& row) {
-    stored_row& known = this->rows[row.key];
+/// Keeps a row if it is newer than the one that is known.
+bool coordinator::state::remember(std::string_view table, const stored_row& row) {
+    stored_row& known = this->rows[{std::string(table), row.key}];
     if (known.version >= row.version) {
-        return;
+        return false;
     }
     known = row;
-    if (row.key == term_row) {
-        const auto read = decode_term(row.value);
-        if (!read) {
-            telemetry::log_error(this->log, "term_row_malformed", {{"version", row.version}});
-            return;
-        }
-        this->term = *read;
-        this->misses = 0;
-        this->leader_without_store = false;
-        if (this->leading && read->host != this->identity) {
-            this->step_down("another host holds the term");
-        }
-        if (!this->leading && !this->taking_over && read->host.empty() && !this->resigned) {
-            this->leader_lost("resigned");
-        }
-    } else if (row.key.starts_with(owners_prefix)) {
-        this->publish(service_id(row.key.substr(owners_prefix.size())), row.value);
-    }
+    return true;
 }
 
-void coordinator::state::publish(const service_id& service, const std::string& value) {
-    auto table = ranges::decode(value);
-    if (!table) {
-        telemetry::log_error(this->log, "owners_row_malformed",
-                             {{"service", service.value()}, {"error", table.error()}});
+void coordinator::state::on_term_row(const stored_row& row) {
+    if (!this->remember(term_table, row)) {
+        return;
+    }
+    const auto read = decode_term(row.value);
+    if (!read) {
+        telemetry::log_error(this->log, "term_row_malformed", {{"version", row.version}});
         return;
     }
-    this->owners(service, std::move(*table));
+    this->term = *read;
+    this->misses = 0;
+    this->leader_without_store = false;
+    if (this->leading && read->host != this->identity) {
+        this->step_down("another host holds the term");
+    }
+    if (!this->leading && !this->taking_over && read->host.empty() && !this->resigned) {
+        this->leader_lost("resigned");
+    }
+}
+
+/// Reads both tables.
+/// @param done  called with true if both were read
+void coordinator::state::read_rows(const std::function<void(bool)>& done) {
+    this->store.read(std::string(owners_table), [this,
+                                                 done](const result<table_content>& owner_rows) {
+        if (!owner_rows) {
+            done(false);
+            return;
+        }
+        for (const stored_row& row : owner_rows->rows) {
+            this->remember(owners_table, row);
+        }
+        // The term is read last: owners of a later term fail the next commit.
+        this->store.read(std::string(term_table), [this, done](const result<table_content>& terms) {
+            if (!terms) {
+                done(false);
+                return;
+            }
+            for (const stored_row& row : terms->rows) {
+                if (row.key == term_row) {
+                    this->on_term_row(row);
+                }
+            }
+            done(true);
+        });
+    });
 }
 
-void coordinator::state::schedule_report() {
+void coordinator::state::schedule_report(milliseconds pause) {
     // Spread, so that the hosts do not all miss the coordinator at the same moment.
     const double spread = 0.75 + 0.5 * std::uniform_real_distribution<double>(0, 1)(this->random);
-    this->loop.call_after(milliseconds(static_cast<std::int64_t>(
-                              static_cast<double>(this->settings.report_every.count()) * spread)),
-                          [this] {
-                              this->report();
-                              this->schedule_report();
-                          });
+    this->loop.call_after(
+        milliseconds(static_cast<std::int64_t>(static_cast<double>(pause.count()) * spread)),
+        [this] { this->report(); });
 }
 
 void coordinator::state::report() {
-    if (this->leading || this->taking_over || !this->table_loaded || !this->servers.loaded()) {
-        return;
-    }
-    if (!this->term || !this->term->address || this->term->host.empty()) {
+    if (!this->leading && !this->taking_over && this->table_loaded && this->servers.loaded() &&
+        (!this->term || !this->term->address || this->term->host.empty())) {
         this->leader_lost("vacant");
-        return;
     }
-    if (this->term->host == this->identity) {
+    if (this->leading || this->taking_over || !this->table_loaded || !this->servers.loaded() ||
+        !this->term || !this->term->address || this->term->host == this->identity) {
+        this->schedule_report(this->settings.report_retry);
         return;
     }
     host_report content = this->own_report();
     content.host = this->settings.host;
+    content.term = this->known_term;
+    content.owners = this->known_versions;
     wire::request message;
     message.method = "POST";
     message.target = "/coordination/report";
@@ -261,40 +286,63 @@
     wire::call_options options;
     options.timeout = this->settings.report_timeout;
     options.connect_timeout = this->settings.report_timeout;
-    this->peers.send(
-        *this->term->address, message, options,
-        [this, number = this->term->number](const wire::call_result& outcome) {
-            if (this->leading || !this->term || this->term->number != number) {
-                return;
-            }
-            report_answer answer;
-            if (outcome.error || outcome.message.code != ok ||
-                !decode(outcome.message.body, answer)) {
-                ++this->misses;
-                if (outcome.error == wire::wire_errc::refused ||
-                    this->misses >= misses_before_takeover) {
-                    this->leader_lost(outcome.error.message());
-                }
-                return;
-            }
-            this->misses = 0;
-            if (!answer.coordinating) {
-                this->leader_lost("not coordinating");
-                return;
-            }
-            this->set_hosts(answer.hosts);
-            const time_point now = wire::event_loop::now();
-            if (answer.has_store) {
-                this->leader_without_store = false;
-            } else if (!this->leader_without_store) {
-                this->leader_without_store = true;
-                this->leader_without_store_since = now;
-            } else if (now - this->leader_without_store_since > this->settings.isolation / 2) {
-                // Succeeds only if this host reaches the store.
-                this->leader_without_store = false;
-                this->leader_lost("without the store");
-            }
-        });
+    this->peers.send(*this->term->address, message, options,
+                     [this, number = this->term->number](const wire::call_result& outcome) {
+                         report_answer answer;
+                         const bool answered = !outcome.error && outcome.message.code == ok &&
+                                               decode(outcome.message.body, answer);
+                         this->schedule_report(answered && answer.coordinating
+                                                   ? this->settings.report_pause
+                                                   : this->settings.report_retry);
+                         if (this->leading || !this->term || this->term->number != number) {
+                             return;
+                         }
+                         if (!answered) {
+                             ++this->misses;
+                             if (outcome.error == wire::wire_errc::refused ||
+                                 this->misses >= misses_before_takeover) {
+                                 this->leader_lost(outcome.error.message());
+                             }
+                             return;
+                         }
+                         this->misses = 0;
+                         if (!answer.coordinating) {
+                             this->leader_lost("not coordinating");
+                             return;
+                         }
+                         this->on_answer(answer);
+                     });
+}
+
+void coordinator::state::on_answer(const report_answer& answer) {
+    this->set_hosts(answer.hosts);
+    const time_point now = wire::event_loop::now();
+    if (answer.term != this->known_term) {
+        this->known_term = answer.term;
+        this->known_versions.clear();
+    }
+    for (const auto& [service, update] : answer.owners) {
+        ranges::range_table& known = this->known_owners[service];
+        if (update.whole) {
+            known.ranges = update.ranges;
+        } else if (!known.ranges.empty()) {
+            known = ranges::with_changes(known, update.ranges);
+        } else {
+            continue;
+        }
+        this->known_versions[service] = update.version;
+        this->owners(service, known);
+    }
+    if (answer.has_store) {
+        this->leader_without_store = false;
+    } else if (!this->leader_without_store) {
+        this->leader_without_store = true;
+        this->leader_without_store_since = now;
+    } else if (now - this->leader_without_store_since > this->settings.isolation / 2) {
+        // Succeeds only if this host reaches the store.
+        this->leader_without_store = false;
+        this->leader_lost("without the store");
+    }
 }
 
 void coordinator::state::leader_lost(std::string_view reason) {
@@ -309,17 +357,10 @@
 
 void coordinator::state::take_over() {
     this->taking_over = true;
-    this->store.read(std::string(ownership_table), [this](result<table_content> answer) {
-        if (!answer) {
-            this->taking_over = false;
-            return;
-        }
-        const std::uint64_t seen = this->term ? this->term->number : 0;
-        for (const stored_row& row : answer->rows) {
-            this->on_row(row);
-        }
-        if (this->term && this->term->number > seen && !this->term->host.empty()) {
-            // Another host was faster.
+    const std::uint64_t seen = this->term ? this->term->number : 0;
+    this->read_rows([this, seen](bool done) {
+        if (!done || (this->term && this->term->number > seen && !this->term->host.empty())) {
+            // Without the store nobody takes over; or another host was faster.
             this->taking_over = false;
             return;
         }
@@ -328,33 +369,27 @@
         mine.host = this->identity;
         mine.address = this->settings.address;
         stored_row row;
+        row.table = std::string(term_table);
         row.key = std::string(term_row);
-        row.version = this->version_of(row.key);
+        row.version = this->version_of(term_table, row.key);
         const std::vector<stored_row> expected{row};
         row.value = encode(mine);
-        this->store.commit(std::string(ownership_table), expected, {row},
-                           [this, mine](commit_outcome outcome) {
-                               if (outcome == commit_outcome::rejected) {
-                                   this->taking_over = false;
-                               } else {
-                                   this->confirm_takeover(mine);
-                               }
-                           });
+        this->store.commit(expected, {row}, [this, mine](commit_outcome outcome) {
+            if (outcome == commit_outcome::rejected) {
+                this->taking_over = false;
+            } else {
+                this->confirm_takeover(mine);
+            }
+        });
     });
 }
 
-/// Reads back whether this host holds the term.
+/// Reads back whether this host holds the term, and who owns what.
 void coordinator::state::confirm_takeover(const term_content& mine) {
-    this->store.read(std::string(ownership_table), [this, mine](result<table_content> answer) {
+    this->read_rows([this, mine](bool done) {
         this->taking_over = false;
-        if (!answer) {
-            return;
-        }
-        for (const stored_row& row : answer->rows) {
-            this->on_row(row);
-        }
-        if (this->term && this->term->host == this->identity && this->term->number == mine.number &&
-            !this->resigned) {
+        if (done && this->term && this->term->host == this->identity &&
+            this->term->number == mine.number && !this->resigned) {
             this->lead(mine.number);
         }
     });
@@ -379,6 +414,7 @@
     if (this->leading) {
         this->leading = false;
         this->kept.clear();
+        this->answer_waiting(true, wire::event_loop::now());
         telemetry::log_info(this->log, "coordination_ended",
                             {{"reason", reason}, {"term", this->term ? this->term->number : 0}});
     }
@@ -403,21 +439,17 @@
         // The process stood still: another host may hold the term by now.
         this->step_down("suspended");
         this->term.reset();
-        this->rows.erase(std::string(term_row));
-        this->store.read(std::string(ownership_table), [this](result<table_content> answer) {
-            if (answer) {
-                for (const stored_row& row : answer->rows) {
-                    this->on_row(row);
-                }
-                if (this->term && this->term->host == this->identity) {
-                    // Nobody took over; a new term gives new fences.
-                    this->take_over();
-                }
+        this->rows.erase({std::string(term_table), std::string(term_row)});
+        this->read_rows([this](bool done) {
+            if (done && this->term && this->term->host == this->identity) {
+                // Nobody took over; a new term gives new fences.
+                this->take_over();
             }
         });
         return;
     }
     this->last_tick = now;
+    this->answer_waiting(false, now);
     if (!this->is_isolated(now) && this->config && this->servers.loaded()) {
         for (const auto& [id, service] : this->config->services) {
             if (service.divided) {
@@ -491,15 +523,23 @@
     auto found = this->kept.find(service);
     if (found == this->kept.end()) {
         const epoch first((this->term->number << term_shift) + 1);
-        found = this->kept
-                    .emplace(service,
-                             kept_service{
-                                 ranges::lease_keeper(this->settings.keeper, first), {}, {}, false})
-                    .first;
-        const auto row = this->rows.find(std::string(owners_prefix) + service.value());
-        if (row != this->rows.end()) {
-            if (const auto stored = ranges::decode(row->second.value)) {
+        found =
+            this->kept
+                .emplace(service, kept_service{ranges::lease_keeper(this->settings.keeper, first),
+                                               {},
+                                               {},
+                                               false,
+                                               {},
+                                               0,
+                                               {}})
+                .first;
+        if (const stored_row* row = this->owners_row(service)) {
+            if (auto stored = ranges::decode(row->value)) {
                 found->second.keeper.adopt(*stored, now);
+                this->set_stored(service, std::move(*stored));
+            } else {
+                telemetry::log_error(this->log, "owners_row_malformed",
+                                     {{"service", service.value()}, {"error", stored.error()}});
             }
         }
     }
@@ -560,7 +600,7 @@
             own->second.keeper.record(what.lease, outcome, handover, wire::event_loop::now());
             if (own->second.keeper.outranked()) {
                 this->step_down("a server has seen a higher fence");
-                this->rows.erase(std::string(term_row));
+                this->rows.erase({std::string(term_table), std::string(term_row)});
                 this->take_over();
             }
         });
@@ -570,68 +610,143 @@
     kept_service& own = this->kept.at(service);
     own.committing = true;
     stored_row row;
-    row.key = std::string(owners_prefix) + service.value();
-    row.version = this->version_of(row.key);
+    row.table = std::string(owners_table);
+    row.key = service.value();
+    row.version = this->version_of(owners_table, row.key);
     stored_row term_version;
+    term_version.table = std::string(term_table);
     term_version.key = std::string(term_row);
-    term_version.version = this->version_of(term_version.key);
+    term_version.version = this->version_of(term_table, term_version.key);
     const std::vector<stored_row> expected{row, term_version};
     row.value = ranges::encode(table);
     telemetry::log_info(
         this->log, "owners_change",
         {{"service", service.value()}, {"ranges", table.ranges.size()}, {"version", row.version}});
-    this->store.commit(
-        std::string(ownership_table), expected, {row},
-        [this, service, value = row.value](commit_outcome outcome) {
-            if (!this->kept.contains(service)) {
-                return;
-            }
-            this->store_ok =
-                outcome == commit_outcome::stored || outcome == commit_outcome::conflict;
-            if (outcome == commit_outcome::rejected) {
-                // Nothing was written; the plan is made anew.
-                this->loop.call_after(commit_retry, [this, service] {
-                    const auto kept_now = this->kept.find(service);
-                    if (kept_now != this->kept.end()) {
-                        kept_now->second.committing = false;
-                        kept_now->second.keeper.committed(false, wire::event_loop::now());
-                    }
-                });
-                return;
-            }
-            this->resolve(service, value);
-        });
+    this->store.commit(expected, {row}, [this, service, value = row.value](commit_outcome outcome) {
+        if (!this->kept.contains(service)) {
+            return;
+        }
+        this->store_ok = outcome == commit_outcome::stored || outcome == commit_outcome::conflict;
+        if (outcome == commit_outcome::rejected) {
+            // Nothing was written; the plan is made anew.
+            this->loop.call_after(commit_retry, [this, service] {
+                const auto kept_now = this->kept.find(service);
+                if (kept_now != this->kept.end()) {
+                    kept_now->second.committing = false;
+                    kept_now->second.keeper.committed(false, wire::event_loop::now());
+                }
+            });
+            return;
+        }
+        this->resolve(service, value);
+    });
 }
 
 /// Reads back which table is stored, after any commit that may have been carried out.
 void coordinator::state::resolve(const service_id& service, const std::string& value) {
-    this->store.read(
-        std::string(ownership_table), [this, service, value](result<table_content> answer) {
-            const auto own = this->kept.find(service);
-            if (own == this->kept.end()) {
-                return;
-            }
-            const time_point now = wire::event_loop::now();
-            if (!answer) {
-                this->store_ok = false;
-                this->loop.call_after(commit_retry,
-                                      [this, service, value] { this->resolve(service, value); });
-                return;
+    this->read_rows([this, service, value](bool done) {
+        if (!this->kept.contains(service)) {
+            return;
+        }
+        const time_point now = wire::event_loop::now();
+        this->store_ok = done;
+        if (!done) {
+            this->loop.call_after(commit_retry,
+                                  [this, service, value] { this->resolve(service, value); });
+            return;
+        }
+        this->store_reached = now;
+        const stored_row* const row = this->owners_row(service);
+        const bool stored = row != nullptr && row->value == value;
+        kept_service& own = this->kept.at(service);
+        own.committing = false;
+        own.keeper.committed(stored, now);
+        if (stored) {
+            if (auto table = ranges::decode(value)) {
+                this->set_stored(service, std::move(*table));
+                this->answer_waiting(false, now);
             }
-            this->store_ok = true;
-            this->store_reached = now;
-            for (const stored_row& row : answer->rows) {
-                this->on_row(row);
+        }
+    });
+}
+
+/// Takes over the stored table, for this host and for the others.
+void coordinator::state::set_stored(const service_id& service, ranges::range_table table) {
+    kept_service& own = this->kept.at(service);
+    own.history.push_back(own.stored.ranges.empty() ? table.ranges
+                                                    : ranges::changes_between(own.stored, table));
+    if (own.history.size() > history_length) {
+        own.history.pop_front();
+    }
+    ++own.version;
+    own.stored = std::move(table);
+    this->known_owners[service] = own.stored;
+    this->owners(service, own.stored);
+}
+
+report_answer coordinator::state::make_answer(const host_report& report, time_point now) const {
+    report_answer answer;
+    answer.coordinating = this->leading;
+    answer.has_store = this->store_ok && this->store_reachable;
+    answer.hosts = 1 + static_cast<int>(std::count_if(
+                           this->reports.begin(), this->reports.end(),
+                           [now](const auto& entry) { return now - entry.second < host_age; }));
+    if (!this->leading) {
+        return answer;
+    }
+    answer.term = this->term->number;
+    for (const auto& [service, own] : this->kept) {
+        const auto has = report.owners.find(service);
+        const std::uint64_t version =
+            report.term == answer.term && has != report.owners.end() ? has->second : 0;
+        if (version == own.version || own.version == 0) {
+            continue;
+        }
+        owners_update& update = answer.owners[service];
+        update.version = own.version;
+        const std::uint64_t missing = own.version - std::min(version, own.version);
+        if (version == 0 || version > own.version || missing > own.history.size()) {
+            update.whole = true;
+            update.ranges = own.stored.ranges;
+            continue;
+        }
+        std::vector<ranges::key_range> touched;
+        for (std::size_t index = own.history.size() - missing; index < own.history.size();
+             ++index) {
+            for (const ranges::range_owner& entry : own.history[index]) {
+                touched.push_back(entry.keys);
             }
-            const auto kept_now = this->kept.find(service);
-            if (kept_now == this->kept.end()) {
-                return;
+        }
+        // Later changes replace earlier ones: what counts is the table as it is now.
+        for (const ranges::range_owner& entry : own.stored.ranges) {
+            const bool overlaps = std::any_of(
+                touched.begin(), touched.end(), [&entry](const ranges::key_range& keys) {
+                    return keys.first <= entry.keys.last && entry.keys.first <= keys.last;
+                });
+            if (overlaps) {
+                update.ranges.push_back(entry);
             }
-            const auto row = this->rows.find(std::string(owners_prefix) + service.value());
-            const bool stored = row != this->rows.end() && row->second.value == value;
-            kept_now->second.committing = false;
-            kept_now->second.keeper.committed(stored, now);
-        });
+        }
+    }
+    return answer;
+}
+
+/// Answers the reports that lack owners or have waited long enough.
+void coordinator::state::answer_waiting(bool all, time_point now) {
+    std::vector<kept_report> kept_on;
+    std::vector<std::pair<answer_handler, report_answer>> answers;
+    for (kept_report& one : this->waiting) {
+        report_answer answer = this->make_answer(one.report, now);
+        if (all || now >= one.until || !answer.owners.empty() || !answer.coordinating) {
+            answers.emplace_back(std::move(one.answer), std::move(answer));
+        } else {
+            kept_on.push_back(std::move(one));
+        }
+    }
+    this->waiting = std::move(kept_on);
+    for (const auto& [handler, answer] : answers) {
+        handler(answer);
+    }
 }
 
 void coordinator::set_store_reachable(bool reachable) {
@@ -645,17 +760,16 @@
     }
 }
 
-report_answer coordinator::on_report(const host_report& report, time_point now) {
+void coordinator::on_report(const host_report& report, answer_handler answer, time_point now) {
     state& own = *this->implementation;
-    report_answer answer;
-    answer.coordinating = own.leading;
-    answer.has_store = own.store_ok && own.store_reachable;
     if (own.leading) {
         own.reports[report.host] = now;
         own.learn(report);
     }
-    answer.hosts = static_cast<int>(own.reports.size()) + 1;
-    return answer;
+    own.waiting.push_back({report, std::move(answer), now + own.settings.report_kept});
+    own.waiting.back().report.keys.clear();
+    own.waiting.back().report.speeds.clear();
+    own.answer_waiting(!own.leading, now);
 }
 
 void coordinator::resign() {
@@ -667,12 +781,13 @@
     term_content vacant;
     vacant.number = own.term->number;
     stored_row row;
+    row.table = std::string(term_table);
     row.key = std::string(term_row);
-    row.version = own.version_of(row.key);
+    row.version = own.version_of(term_table, row.key);
     const std::vector<stored_row> expected{row};
     row.value = encode(vacant);
     own.step_down("this process ends");
-    own.store.commit(std::string(ownership_table), expected, {row},
+    own.store.commit(expected, {row},
                      [](commit_outcome) { /* Without it, the others miss this host. */ });
 }
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -10,8 +10,11 @@
 
 namespace {
 
-/// Changes of servers that are gathered into one call; a tenth of `drainS`.
-constexpr milliseconds gather_servers{150};
+/// Changes of servers within this time are gathered into one call to the store. Calls grow with
+/// the hosts; leaving servers must be known well within `drainS`, 2 s or more.
+constexpr milliseconds gather_per_host{8};
+constexpr milliseconds least_gather{80};
+constexpr milliseconds most_gather{700};
 constexpr milliseconds gather_none{0};
 /// The platform sends new callers until it has missed two answers, one a second.
 constexpr milliseconds callers_stop{2'500};
@@ -43,7 +46,7 @@
     coordinator ownership;
     table_watch catalogue_watch;
     table_watch server_watch;
-    table_watch owner_watch;
+    table_watch term_watch;
     wire::server front_server;
     wire::server ready_server;
     wire::server peer_server;
@@ -77,15 +80,20 @@
                   seen.speeds = this->requests.take_speeds();
                   return seen;
               },
-              [this](int hosts) { this->requests.set_hosts(hosts); }, seed + 1),
+              [this](int hosts) {
+                  this->requests.set_hosts(hosts);
+                  this->server_watch.set_gather(
+                      std::clamp(hosts * gather_per_host, least_gather, most_gather));
+              },
+              seed + 1),
           catalogue_watch(owner_loop, store, logger, rows.catalogue_table, gather_none,
                           [this](const table_update& update) { this->on_catalogue(update); }),
-          server_watch(owner_loop, store, logger, rows.server_table, gather_servers,
+          server_watch(owner_loop, store, logger, rows.server_table, most_gather,
                        [this](const table_update& update) { this->on_servers(update); }),
-          owner_watch(owner_loop, store, logger, std::string(ownership_table), gather_none,
-                      [this](const table_update& update) {
-                          this->ownership.on_table(update.content, update.whole);
-                      }),
+          term_watch(owner_loop, store, logger, std::string(term_table), gather_none,
+                     [this](const table_update& update) {
+                         this->ownership.on_term(update.content, update.whole);
+                     }),
           front_server(owner_loop,
                        [this](const std::shared_ptr<wire::incoming>& request) {
                            this->requests.accept(request);
@@ -195,7 +203,7 @@
 
     void expire_servers() {
         const time_point now = wire::event_loop::now();
-        this->ownership.set_store_reachable(this->owner_watch.reachable());
+        this->ownership.set_store_reachable(this->term_watch.reachable());
         if (this->servers.expire(now)) {
             this->servers_changed(now);
         }
@@ -210,8 +218,12 @@
                 request->answer(text_reply(400, "Bad Request", "the report is malformed\n"));
                 return;
             }
-            request->answer(text_reply(
-                200, "OK", encode(this->ownership.on_report(report, wire::event_loop::now()))));
+            this->ownership.on_report(
+                report,
+                [request](const report_answer& answer) {
+                    request->answer(text_reply(200, "OK", encode(answer)));
+                },
+                wire::event_loop::now());
         } else if (target == "/metrics") {
             request->answer(text_reply(200, "OK", this->numbers.serialise()));
         } else {
@@ -260,7 +272,7 @@
     }
     own.catalogue_watch.start();
     own.server_watch.start();
-    own.owner_watch.start();
+    own.term_watch.start();
     own.ownership.start();
     own.expire_servers();
     telemetry::log_info(own.log, "started",
--- a/libs/gateway/src/reports.cpp
+++ b/libs/gateway/src/reports.cpp
@@ -15,6 +15,10 @@
 std::string encode(const host_report& report) {
     nlohmann::json text;
     text["host"] = report.host.value();
+    text["term"] = report.term;
+    for (const auto& [service, version] : report.owners) {
+        text["owners"][service.value()] = version;
+    }
     text["keys"] = nlohmann::json::object();
     for (const auto& [service, keys] : report.keys) {
         text["keys"][service.value()] = keys;
@@ -48,6 +52,17 @@
             list.push_back(key.get<ranges::key_position>());
         }
     }
+    report.term = parsed.contains("term") && parsed["term"].is_number_unsigned()
+                      ? parsed["term"].get<std::uint64_t>()
+                      : 0;
+    if (parsed.contains("owners") && parsed["owners"].is_object()) {
+        for (const auto& [service, version] : parsed["owners"].items()) {
+            if (!version.is_number_unsigned()) {
+                return false;
+            }
+            report.owners[service_id(service)] = version.get<std::uint64_t>();
+        }
+    }
     if (!parsed.contains("speeds")) {
         return true;
     }
@@ -75,9 +90,53 @@
     text["coordinating"] = answer.coordinating;
     text["has_store"] = answer.has_store;
     text["hosts"] = answer.hosts;
+    text["term"] = answer.term;
+    for (const auto& [service, update] : answer.owners) {
+        nlohmann::json& written = text["owners"][service.value()];
+        written["version"] = update.version;
+        written["whole"] = update.whole;
+        written["ranges"] = nlohmann::json::array();
+        for (const ranges::range_owner& entry : update.ranges) {
+            written["ranges"].push_back(
+                {entry.keys.first, entry.keys.last, entry.owner.id.value(), entry.owner.born});
+        }
+    }
     return text.dump();
 }
 
+namespace {
+
+bool decode_update(const nlohmann::json& parsed, owners_update& update) {
+    if (!parsed.is_object() || !parsed.contains("version") ||
+        !parsed["version"].is_number_unsigned() || !parsed.contains("whole") ||
+        !parsed["whole"].is_boolean() || !parsed.contains("ranges") ||
+        !parsed["ranges"].is_array()) {
+        return false;
+    }
+    update.version = parsed["version"].get<std::uint64_t>();
+    update.whole = parsed["whole"].get<bool>();
+    std::uint64_t next = 0;
+    for (const nlohmann::json& row : parsed["ranges"]) {
+        if (!row.is_array() || row.size() != 4 || !row[0].is_number_unsigned() ||
+            !row[1].is_number_unsigned() || !row[2].is_string() || !row[3].is_number_unsigned()) {
+            return false;
+        }
+        const auto first = row[0].get<std::uint64_t>();
+        const auto last = row[1].get<std::uint64_t>();
+        if (first < next || last < first || last > ranges::last_key ||
+            (update.whole && first != next)) {
+            return false;
+        }
+        update.ranges.push_back(
+            {{static_cast<ranges::key_position>(first), static_cast<ranges::key_position>(last)},
+             {server_id(row[2].get<std::string>()), row[3].get<std::uint64_t>()}});
+        next = last + 1;
+    }
+    return !update.whole || next == ranges::last_key + 1;
+}
+
+}  // namespace
+
 bool decode(std::string_view text, report_answer& answer) {
     const nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
     if (!parsed.is_object() || !parsed.contains("coordinating") ||
@@ -89,6 +148,16 @@
     answer.coordinating = parsed["coordinating"].get<bool>();
     answer.has_store = parsed["has_store"].get<bool>();
     answer.hosts = parsed["hosts"].get<int>();
+    answer.term = parsed.contains("term") && parsed["term"].is_number_unsigned()
+                      ? parsed["term"].get<std::uint64_t>()
+                      : 0;
+    if (parsed.contains("owners") && parsed["owners"].is_object()) {
+        for (const auto& [service, update] : parsed["owners"].items()) {
+            if (!decode_update(update, answer.owners[service_id(service)])) {
+                return false;
+            }
+        }
+    }
     return true;
 }
 
--- a/libs/ranges/include/ranges/range_table.h
+++ b/libs/ranges/include/ranges/range_table.h
@@ -48,6 +48,12 @@
 /// Owner of a key; nullptr if nothing has been assigned.
 const server_life* owner_of(const range_table& table, key_position key);
 
+/// The ranges of `next` whose owner is another one in `last`, in part or whole.
+std::vector<range_owner> changes_between(const range_table& last, const range_table& next);
+
+/// `table` with the owners of `changes`.
+range_table with_changes(const range_table& table, const std::vector<range_owner>& changes);
+
 /// Text of the stored row.
 std::string encode(const range_table& table);
 
--- a/libs/ranges/src/range_table.cpp
+++ b/libs/ranges/src/range_table.cpp
@@ -16,6 +16,58 @@
     return found == table.ranges.end() ? nullptr : &found->owner;
 }
 
+std::vector<range_owner> changes_between(const range_table& last, const range_table& next) {
+    std::vector<range_owner> changes;
+    auto old = last.ranges.begin();
+    for (const range_owner& entry : next.ranges) {
+        while (old != last.ranges.end() && old->keys.last < entry.keys.first) {
+            ++old;
+        }
+        bool same = old != last.ranges.end();
+        for (auto covered = old;
+             same && covered != last.ranges.end() && covered->keys.first <= entry.keys.last;
+             ++covered) {
+            same = covered->owner == entry.owner;
+        }
+        if (!same) {
+            changes.push_back(entry);
+        }
+    }
+    return changes;
+}
+
+range_table with_changes(const range_table& table, const std::vector<range_owner>& changes) {
+    range_table result;
+    const auto append = [&result](const range_owner& entry) {
+        if (!result.ranges.empty() && result.ranges.back().owner == entry.owner) {
+            result.ranges.back().keys.last = entry.keys.last;
+        } else {
+            result.ranges.push_back(entry);
+        }
+    };
+    auto change = changes.begin();
+    for (const range_owner& entry : table.ranges) {
+        key_position first = entry.keys.first;
+        while (first <= entry.keys.last) {
+            while (change != changes.end() && change->keys.last < first) {
+                ++change;
+            }
+            if (change == changes.end() || change->keys.first > entry.keys.last) {
+                append({{first, entry.keys.last}, entry.owner});
+                break;
+            }
+            if (change->keys.first > first) {
+                append({{first, change->keys.first - 1}, entry.owner});
+                first = change->keys.first;
+            }
+            const key_position last = std::min(change->keys.last, entry.keys.last);
+            append({{first, last}, change->owner});
+            first = last + 1;
+        }
+    }
+    return result;
+}
+
 std::string encode(const range_table& table) {
     nlohmann::json rows = nlohmann::json::array();
     for (const range_owner& entry : table.ranges) {
