Bound retries after a refusal by an owner; count a lease's end from its answer

An answer by another server now ends the life that was meant, for this host and for the coordinator; one request asks an owner that has refused a key, the others wait; second tries after a refusal take from a small allowance. Its answer now counts for both parts. A lease also runs from the grant's arrival, which may be late: its end is counted from the answer.

--- a/libs/gateway/include/gateway/balancer.h
+++ b/libs/gateway/include/gateway/balancer.h
@@ -41,6 +41,8 @@
     server_entry entry;
     /// Its registration lapsed, and it may have left.
     bool doubtful = false;
+    /// Another server answers at its address.
+    bool ended = false;
     int in_flight = 0;
     stated_load stated;
     time_point stated_at;
--- a/libs/gateway/include/gateway/coordinator.h
+++ b/libs/gateway/include/gateway/coordinator.h
@@ -49,6 +49,8 @@
     host_id host;
     std::map<service_id, std::vector<ranges::key_position>> keys;
     std::map<service_id, std::map<server_id, speed_sample>> speeds;
+    /// Lives of servers that have certainly ended.
+    std::vector<ranges::server_life> ended;
     /// Versions of the owners' tables that the host has, by the coordinator's count; 0 is none.
     std::map<service_id, std::uint64_t> owners;
     /// Term in which they were counted.
--- a/libs/gateway/include/gateway/front.h
+++ b/libs/gateway/include/gateway/front.h
@@ -31,6 +31,8 @@
     std::string expected_server;
     /// Running and waiting requests and slots of the server.
     std::string load;
+    /// Id of the server that answers, where it is not the expected one.
+    std::string server;
     /// The server states that it has not run the request.
     std::string not_run;
     std::string retry_after;
@@ -72,6 +74,8 @@
     std::map<service_id, std::vector<ranges::key_position>> take_keys();
     /// Service times of the servers of divided services since the last call.
     std::map<service_id, std::map<server_id, speed_sample>> take_speeds();
+    /// Lives of servers that have certainly ended, found since the last call.
+    std::vector<ranges::server_life> take_ended();
     /// Requests that have no answer yet.
     std::size_t open_requests() const;
 
--- a/libs/gateway/src/balancer.cpp
+++ b/libs/gateway/src/balancer.cpp
@@ -62,7 +62,7 @@
 }
 
 bool is_available(const server_state& server, time_point now) {
-    return !server.entry.draining && now >= server.paused_until;
+    return !server.entry.draining && !server.ended && now >= server.paused_until;
 }
 
 void record_answer(server_state& server, microseconds took, bool failed,
--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <deque>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace greengagechute::gateway {
@@ -112,6 +113,8 @@
     bool leader_without_store = false;
     std::map<service_id, kept_service> kept{};
     std::map<host_id, time_point> reports{};
+    /// Lives of servers that have ended although their entries are still there.
+    std::set<ranges::server_life> ended{};
     /// Also of servers whose entry is gone, which still have to release their keys.
     std::map<server_id, wire::endpoint> addresses{};
     time_point last_tick{};
@@ -153,7 +156,7 @@
     void step_down(std::string_view reason);
     void tick();
     void keep(const service_id& service, time_point now);
-    void learn(const host_report& report);
+    void learn(const host_report& report, time_point now);
     void send(const service_id& service, const ranges::order& what);
     void commit(const service_id& service, const ranges::range_table& table);
     void resolve(const service_id& service, const std::string& value);
@@ -456,7 +459,7 @@
                 this->keep(id, now);
             }
         }
-        this->learn(this->own_report());
+        this->learn(this->own_report(), now);
         if (now - this->last_balance >= this->settings.balance_every) {
             this->last_balance = now;
             for (auto& [id, service] : this->kept) {
@@ -478,7 +481,13 @@
     this->loop.call_after(this->settings.tick, [this] { this->tick(); });
 }
 
-void coordinator::state::learn(const host_report& report) {
+void coordinator::state::learn(const host_report& report, time_point now) {
+    for (const ranges::server_life& life : report.ended) {
+        this->ended.insert(life);
+        for (auto& [service, own] : this->kept) {
+            own.keeper.set_ended(life, now);
+        }
+    }
     for (const auto& [service, keys] : report.keys) {
         const auto found = this->kept.find(service);
         if (found != this->kept.end()) {
@@ -547,7 +556,8 @@
     std::vector<ranges::candidate> candidates;
     for (const auto& [id, entry] : this->servers.servers()) {
         if (entry.service == service) {
-            candidates.push_back({entry.life, weight_of(own, entry), !entry.draining});
+            candidates.push_back({entry.life, weight_of(own, entry),
+                                  !entry.draining && !this->ended.contains(entry.life)});
         }
     }
     own.keeper.set_candidates(candidates, now);
@@ -764,7 +774,7 @@
     state& own = *this->implementation;
     if (own.leading) {
         own.reports[report.host] = now;
-        own.learn(report);
+        own.learn(report, now);
     }
     own.waiting.push_back({report, std::move(answer), now + own.settings.report_kept});
     own.waiting.back().report.keys.clear();
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -32,6 +32,8 @@
 /// Pause before a key that its owner refused is tried again: a move takes about two round trips
 /// between regions and one transaction of the store.
 constexpr milliseconds moved_pause{60};
+/// Time in which one request asks whether a move has ended, before another one may.
+constexpr milliseconds moved_probe{150};
 /// Pause before a server that could not be reached is tried again.
 constexpr milliseconds unreachable_pause{80};
 /// Tries that did not reach a server, per request.
@@ -97,6 +99,27 @@
     return stated_load{numbers[0], numbers[1], numbers[2]};
 }
 
+/// Second tries after a refusal by an owner that has just lost a key. They count as retries, so
+/// their rate is a small part of the platform's allowance beyond the ratio, shared by the hosts.
+struct move_tokens {
+    double left = most;
+    time_point filled;
+
+    static constexpr double most = 3.0;
+    static constexpr double per_second = 0.25;
+
+    bool take(time_point now) {
+        const double seconds = std::chrono::duration<double>(now - this->filled).count();
+        this->left = std::min(most, this->left + seconds * per_second);
+        this->filled = now;
+        if (this->left < 1) {
+            return false;
+        }
+        this->left -= 1;
+        return true;
+    }
+};
+
 /// Position of the range that has the key, in a table that covers all keys.
 std::size_t position_of(const ranges::range_table& table, ranges::key_position key) {
     const auto found =
@@ -145,8 +168,10 @@
 struct service_state {
     std::map<server_id, server_state> servers;
     ranges::range_table owners;
-    /// By position in `owners`: its owner has refused a key and is not asked before that time.
+    /// By position in `owners`: its owner has refused a key, and one request asks it again at that
+    /// time while the others wait.
     std::vector<time_point> moving;
+    move_tokens tokens;
     std::list<exchange_handle> waiting;
     wire::timer_id pump_timer = 0;
     time_point pump_at;
@@ -165,6 +190,7 @@
     std::unordered_map<service_id, service_state> services;
     std::map<service_id, std::vector<ranges::key_position>> keys;
     std::map<service_id, std::map<server_id, speed_sample>> speeds;
+    std::vector<ranges::server_life> ended;
     int hosts = 1;
     std::size_t open = 0;
     telemetry::counter accepted_count;
@@ -238,6 +264,7 @@
                                {},
                                {},
                                {},
+                               {},
                                1,
                                0,
                                {},
@@ -325,6 +352,10 @@
     return std::exchange(this->implementation->speeds, {});
 }
 
+std::vector<ranges::server_life> front::take_ended() {
+    return std::exchange(this->implementation->ended, {});
+}
+
 void front::accept(const std::shared_ptr<wire::incoming>& request) {
     this->implementation->accept(request);
 }
@@ -447,7 +478,7 @@
         }
         server_state& server = found->second;
         const bool left = server.entry.draining && now > server.leaving_since + leaving_owner;
-        return !left && now >= server.paused_until &&
+        return !left && !server.ended && now >= server.paused_until &&
                        server.in_flight < concurrency_limit(server, this->hosts, rules, now)
                    ? &server
                    : nullptr;
@@ -534,6 +565,12 @@
     } else {
         this->retried_count.add();
     }
+    if (one->divided) {
+        time_point& moving = own.moving[position_of(own.owners, one->key)];
+        if (moving != time_point{}) {
+            moving = now + moved_probe;
+        }
+    }
     ++one->sends;
     one->in_flight = true;
     one->running_at = server.entry.life.id;
@@ -613,10 +650,28 @@
             }
         }
     }
+    const std::string* const answering =
+        wire::find_header(outcome.message.headers, this->names.server);
+    if (outcome.message.code == code::misdirected && server != nullptr && answering != nullptr &&
+        *answering != one->running_at.value()) {
+        // Another server has the address: the one that was meant has ended.
+        telemetry::log_info(
+            this->log, "server_replaced",
+            {{"request", one->id}, {"server", one->running_at.value()}, {"answering", *answering}});
+        server->ended = true;
+        this->ended.push_back(server->entry.life);
+    }
     if (wire::find_header(outcome.message.headers, this->names.not_run) != nullptr) {
         this->on_not_run(one, outcome.message.code, now);
         return;
     }
+    if (one->divided && !own.owners.ranges.empty()) {
+        time_point& moving = own.moving[position_of(own.owners, one->key)];
+        if (moving != time_point{}) {
+            moving = {};
+            this->schedule_pump(one->service, milliseconds{0});
+        }
+    }
     const auto took = std::chrono::duration_cast<microseconds>(now - one->sent_at);
     const bool failed = outcome.message.code >= code::first_server_failure;
     if (server != nullptr) {
@@ -670,23 +725,21 @@
     service_state& own = this->service_of(one->service, now);
     if (status == code::misdirected) {
         ++one->moved;
-        const milliseconds pause = moved_pause * one->moved;
         if (!one->divided) {
             one->tried.insert(one->running_at);
         } else if (!own.owners.ranges.empty()) {
             // Other requests for these keys wait as well, until the move has ended.
             const std::size_t position = position_of(own.owners, one->key);
             if (own.owners.ranges[position].owner.id == one->running_at) {
-                own.moving[position] = now + pause;
+                own.moving[position] = now + moved_pause;
             }
         }
-        // The pause bounds the first tries that meet a move; further ones take from the budget.
-        const bool granted = one->moved == 1 || admission::try_retry(own.retries, now);
+        const bool granted = own.tokens.take(now) || admission::try_retry(own.retries, now);
         if (one->moved > moved_tries || !granted) {
             this->refuse(one, gateway_errc::no_owner, now);
             return;
         }
-        this->requeue(one, one->divided ? pause : milliseconds{0}, now);
+        this->requeue(one, one->divided ? moved_pause : milliseconds{0}, now);
         return;
     }
     if (status == code::bad_request) {
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -78,6 +78,7 @@
                   host_report seen;
                   seen.keys = this->requests.take_keys();
                   seen.speeds = this->requests.take_speeds();
+                  seen.ended = this->requests.take_ended();
                   return seen;
               },
               [this](int hosts) {
--- a/libs/gateway/src/reports.cpp
+++ b/libs/gateway/src/reports.cpp
@@ -19,6 +19,9 @@
     for (const auto& [service, version] : report.owners) {
         text["owners"][service.value()] = version;
     }
+    for (const ranges::server_life& life : report.ended) {
+        text["ended"].push_back({life.id.value(), life.born});
+    }
     text["keys"] = nlohmann::json::object();
     for (const auto& [service, keys] : report.keys) {
         text["keys"][service.value()] = keys;
@@ -63,6 +66,16 @@
             report.owners[service_id(service)] = version.get<std::uint64_t>();
         }
     }
+    if (parsed.contains("ended") && parsed["ended"].is_array()) {
+        for (const nlohmann::json& life : parsed["ended"]) {
+            if (!life.is_array() || life.size() != 2 || !life[0].is_string() ||
+                !life[1].is_number_unsigned()) {
+                return false;
+            }
+            report.ended.push_back(
+                {server_id(life[0].get<std::string>()), life[1].get<std::uint64_t>()});
+        }
+    }
     if (!parsed.contains("speeds")) {
         return true;
     }
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -27,8 +27,8 @@
 constexpr gg::time_point start{1h};
 
 gateway::header_names make_names() {
-    return {"Own-Id",   "Own-Deadline", "Own-Signature", "Own-Server",
-            "Own-Load", "Own-Not-Run",  "Retry-After",   "Own-Key"};
+    return {"Own-Id",        "Own-Deadline", "Own-Signature", "Own-Server", "Own-Load",
+            "Own-Answering", "Own-Not-Run",  "Retry-After",   "Own-Key"};
 }
 
 /// A server that answers by a function, and counts.
@@ -362,6 +362,52 @@
     BOOST_TEST(served >= 9);
 }
 
+// Guards against requests that are sent again and again to an address that another service's server
+// uses by now.
+BOOST_AUTO_TEST_CASE(replaced_server_is_not_asked_again) {
+    fixture own;
+    stand_in other(own.loop, [](const auto& asked) {
+        wire::response message;
+        message.code = 421;
+        message.reason = "Misdirected Request";
+        message.headers = {{"Own-Answering", "s9"}, {"Own-Not-Run", "1"}};
+        asked->answer(std::move(message));
+    });
+    own.add("s1", "keys", other.address());
+    own.own("s1");
+    for (int count = 0; count < 5; ++count) {
+        BOOST_TEST(own.ask("GET", "/keys/x", "150", "5").message.code == 503);
+    }
+    BOOST_TEST(other.requests == 1);
+    const auto ended = own.front->take_ended();
+    BOOST_REQUIRE(ended.size() == 1U);
+    BOOST_TEST(ended[0].id.value() == "s1");
+}
+
+// Guards against more retries than the platform allows while an owner has lost its keys for long.
+BOOST_AUTO_TEST_CASE(refusals_by_an_owner_do_not_multiply_requests) {
+    fixture own;
+    stand_in empty(own.loop, [](const auto& asked) { reply(asked, 421, "", false, true); });
+    own.add("s1", "keys", empty.address());
+    own.own("s1");
+    wire::client callers(own.loop, {});
+    constexpr int asked = 200;
+    for (int count = 0; count < asked; ++count) {
+        own.loop.call_after(gg::milliseconds(count * 10), [&own, &callers] {
+            wire::request message;
+            message.method = "GET";
+            message.target = "/keys/x";
+            message.headers = {
+                {"Host", "h"}, {"Own-Id", "r1"}, {"Own-Deadline", "300"}, {"Own-Key", "5"}};
+            callers.send({"127.0.0.1", own.entry->port()}, message, {}, nullptr);
+        });
+    }
+    own.loop.call_after(2'500ms, [&own] { own.loop.stop(); });
+    own.loop.run();
+    // One request in 60 ms asks the owner; all others wait or are refused.
+    BOOST_TEST(empty.requests < 60);
+}
+
 // Guards against an answer later than the caller waits, without a final answer.
 BOOST_AUTO_TEST_CASE(silent_server_ends_at_the_deadline) {
     fixture own;
--- a/libs/ranges/include/ranges/lease_keeper.h
+++ b/libs/ranges/include/ranges/lease_keeper.h
@@ -22,8 +22,8 @@
     milliseconds renew_every{500};
     /// A server's clock may run slow by this much; two in a hundred on the users' platform.
     int clock_slow_percent = 2;
-    /// Time an order may take to arrive: several round trips between regions.
-    milliseconds delivery{150};
+    /// Time an order may still be on its way after its connection was given up.
+    milliseconds delivery{50};
     /// The first assignment waits until no server has joined for this long: servers register within
     /// about a second of a common start.
     milliseconds settle{900};
@@ -87,6 +87,8 @@
     void adopt(const range_table& stored, time_point now);
     /// The servers that may own keys now.
     void set_candidates(const std::vector<candidate>& servers, time_point now);
+    /// That life of the server has certainly ended.
+    void set_ended(const server_life& life, time_point now);
     /// Orders that are due.
     std::vector<order> due(time_point now);
     void record(lease_id lease, order_outcome outcome, const std::string& handover, time_point now);
@@ -119,6 +121,8 @@
         bool in_flight = false;
         /// What the order under way asks for; the state may have changed since it was sent.
         order::kind flight = order::kind::grant;
+        /// The lease for which that order was sent, if this one was split off since.
+        lease_id flight_of;
         int failures = 0;
         int connect_failures = 0;
         time_point next_send;
@@ -134,6 +138,7 @@
     lease* find(lease_id id);
     const candidate* find_candidate(const server_life& life) const;
     bool replaced(const server_life& life) const;
+    void record_one(lease& one, order_outcome outcome, const std::string& handover, time_point now);
     void fail(lease& failed, time_point now);
     void merge_neighbours(time_point now);
     std::map<server_life, double> loads(const key_load& load) const;
--- a/libs/ranges/src/lease_keeper.cpp
+++ b/libs/ranges/src/lease_keeper.cpp
@@ -68,6 +68,17 @@
     return found == this->leases.end() ? nullptr : &*found;
 }
 
+void lease_keeper::set_ended(const server_life& life, time_point now) {
+    for (lease& one : this->leases) {
+        if (one.owner == life) {
+            one.state = phase::free;
+            one.ends = now;
+            one.handover.clear();
+            one.destination.reset();
+        }
+    }
+}
+
 void lease_keeper::set_candidates(const std::vector<candidate>& servers, time_point now) {
     this->candidates = servers;
     if (servers.size() != this->candidates_seen) {
@@ -134,15 +145,27 @@
 
 void lease_keeper::record(lease_id id, order_outcome outcome, const std::string& handover,
                           time_point now) {
-    lease* const found = this->find(id);
-    if (found == nullptr) {
-        return;
+    for (lease& one : this->leases) {
+        if (one.in_flight &&
+            (one.flight_of == id || (one.id == id && one.flight_of == lease_id{}))) {
+            one.flight_of = lease_id{};
+            one.in_flight = false;
+            this->record_one(one, outcome, handover, now);
+        }
     }
-    lease& one = *found;
-    one.in_flight = false;
+}
+
+void lease_keeper::record_one(lease& one, order_outcome outcome, const std::string& handover,
+                              time_point now) {
     if (one.state == phase::free) {
         return;
     }
+    if (one.flight == order::kind::grant && outcome != order_outcome::not_sent &&
+        outcome != order_outcome::refused) {
+        // The lease runs from the grant's arrival, which was before now: a packet that was sent
+        // again may have arrived long after the order was given.
+        one.ends = std::max(one.ends, now + this->longest_hold());
+    }
     switch (outcome) {
         case order_outcome::refused:
             one.state = phase::free;
@@ -388,10 +411,9 @@
     lease second = whole;
     second.id = lease_id(++this->last_id);
     second.keys.first = first_of_second;
-    if (second.in_flight) {
-        // The answer to the order under way is recorded for the first part only.
-        second.in_flight = false;
-        second.unanswered_until = std::max(second.unanswered_until, second.ends);
+    if (second.in_flight && second.flight_of == lease_id{}) {
+        // The order under way covers both parts, and so does its answer.
+        second.flight_of = whole.id;
     }
     whole.keys.last = first_of_second - 1;
     const auto position = std::find_if(this->leases.begin(), this->leases.end(),
--- a/libs/ranges/tests/ranges_test.cpp
+++ b/libs/ranges/tests/ranges_test.cpp
@@ -387,7 +387,10 @@
                                           false});
                     }
                 } else {
-                    flying.push_back({now + 25ms, now + 25ms, what, true});
+                    // Orders may overtake each other, and lost packets are sent again.
+                    const auto arrives =
+                        now + gg::milliseconds(chance(5) ? 300 : 5 + random() % 80);
+                    flying.push_back({arrives, arrives, what, true});
                 }
             }
             if (keeper.plan(load, now)) {
