--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -553,6 +553,20 @@
         }
     }
     kept_service& own = found->second;
+    std::map<wire::endpoint, const server_entry*> newest;
+    for (const auto& [id, entry] : this->servers.servers()) {
+        const server_entry*& known = newest[entry.address];
+        if (known == nullptr || known->life.born < entry.life.born) {
+            known = &entry;
+        }
+    }
+    for (const auto& [id, entry] : this->servers.servers()) {
+        if (newest.at(entry.address)->life.born > entry.life.born &&
+            this->ended.insert(entry.life).second) {
+            // A younger server has the address.
+            own.keeper.set_ended(entry.life, now);
+        }
+    }
     std::vector<ranges::candidate> candidates;
     for (const auto& [id, entry] : this->servers.servers()) {
         if (entry.service == service) {
@@ -796,9 +810,12 @@
     row.version = own.version_of(term_table, row.key);
     const std::vector<stored_row> expected{row};
     row.value = encode(vacant);
-    own.step_down("this process ends");
-    own.store.commit(expected, {row},
-                     [](commit_outcome) { /* Without it, the others miss this host. */ });
+    // Until another host can take over, leases are still renewed here.
+    own.store.commit(expected, {row}, [&own](commit_outcome outcome) {
+        if (outcome == commit_outcome::stored) {
+            own.step_down("this process ends");
+        }
+    });
 }
 
 }  // namespace greengagechute::gateway
--- a/libs/ranges/tests/ranges_test.cpp
+++ b/libs/ranges/tests/ranges_test.cpp
@@ -55,7 +55,7 @@
     }
 
     std::vector<ranges::order> answer_all(ranges::order_outcome outcome) {
-        const auto orders = this->keeper.due(this->now);
+        auto orders = this->keeper.due(this->now);
         for (const ranges::order& what : orders) {
             this->keeper.record(what.lease, outcome, "handover", this->now);
         }
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -48,7 +48,7 @@
     scripted_peer(wire::event_loop& loop, std::vector<std::string> replies, bool close_after)
         : script(std::move(replies)),
           close(close_after),
-          listening(loop, [this](std::shared_ptr<wire::stream> opened) {
+          listening(loop, [this](const std::shared_ptr<wire::stream>& opened) {
               this->accepted.push_back(opened);
               wire::stream_handlers handlers;
               handlers.data = [this, opened = opened.get()](std::string_view bytes) {
@@ -87,7 +87,7 @@
 
 /// Sends one request and waits for its end.
 wire::call_result call(wire::event_loop& loop, wire::client& client, const wire::endpoint& address,
-                       const wire::request& message, wire::call_options options = {}) {
+                       const wire::request& message, const wire::call_options& options = {}) {
     wire::call_result result;
     client.send(address, message, options, [&loop, &result](wire::call_result outcome) {
         result = std::move(outcome);
