--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -236,6 +236,16 @@
     BOOST_TEST(read.speeds.at(gg::service_id("s")).at(gg::server_id("i")).log_ms_sum == 8.25);
     BOOST_TEST(read.speeds.at(gg::service_id("s")).at(gg::server_id("i")).count == 2);
     gateway::report_answer answer;
+    answer.term = 4;
+    answer.owners[gg::service_id("s")] = {
+        3, true, {{{0, 9}, {gg::server_id("a"), 1}}, {{10, 65'535}, {gg::server_id("b"), 2}}}};
+    gateway::report_answer read_answer;
+    BOOST_REQUIRE(decode(encode(answer), read_answer));
+    BOOST_TEST(read_answer.owners.at(gg::service_id("s")).version == 3U);
+    BOOST_TEST(read_answer.owners.at(gg::service_id("s")).ranges[1].owner.id.value() == "b");
+    // A whole table that leaves keys out must not be used.
+    answer.owners[gg::service_id("s")].ranges.pop_back();
+    BOOST_TEST(!decode(encode(answer), read_answer));
     BOOST_TEST(!decode("{}", answer));
     BOOST_TEST(!decode("{\"host\":\"a\",\"keys\":{\"s\":[70000]}}", read));
 }
--- a/libs/ranges/tests/ranges_test.cpp
+++ b/libs/ranges/tests/ranges_test.cpp
@@ -85,6 +85,33 @@
     }
 }
 
+// Guards against hosts that learn changes and end up with other owners than the coordinator.
+BOOST_AUTO_TEST_CASE(changes_lead_to_the_same_owners) {
+    std::mt19937_64 random(7);
+    const auto make = [&random] {
+        ranges::range_table table;
+        ranges::key_position first = 0;
+        while (first <= ranges::last_key) {
+            const auto last = static_cast<ranges::key_position>(
+                std::min<std::uint64_t>(ranges::last_key, first + random() % 9'000));
+            table.ranges.push_back(
+                {{first, last}, life(std::string(1, static_cast<char>('a' + random() % 4)))});
+            first = last + 1;
+        }
+        return table;
+    };
+    for (int round = 0; round < 200; ++round) {
+        const ranges::range_table last = make();
+        const ranges::range_table next = make();
+        const ranges::range_table known =
+            ranges::with_changes(last, ranges::changes_between(last, next));
+        for (ranges::key_position key = 0; key <= ranges::last_key; key += 13) {
+            BOOST_REQUIRE(*ranges::owner_of(known, key) == *ranges::owner_of(next, key));
+        }
+    }
+    BOOST_TEST(ranges::changes_between(make(), {}).empty());
+}
+
 // Guards against all keys going to the servers that register first.
 BOOST_AUTO_TEST_CASE(first_assignment_waits_for_registrations) {
     const ranges::keeper_settings settings;
