--- a/libs/gateway/include/gateway/table_watch.h
+++ b/libs/gateway/include/gateway/table_watch.h
@@ -29,8 +29,6 @@
                 std::string table, milliseconds gather, update_handler handler);
 
     void start();
-    /// Reads the table whole once more.
-    void refresh();
     void set_gather(milliseconds pause) { this->gather = pause; }
     bool reachable() const { return this->failures == 0 && this->has_content; }
     time_point last_success() const { return this->succeeded_at; }
@@ -49,7 +47,6 @@
     std::uint64_t version = 0;
     int failures = 0;
     bool has_content = false;
-    time_point succeeded_at;
 };
 
 }  // namespace greengagechute::gateway
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -44,7 +44,7 @@
 constexpr double least_useful_share = 0.5;
 /// Waiting requests that are looked at in one pass.
 constexpr int pump_limit = 256;
-/// A leaving owner may be used for this long: `drainS` of the users' platform is 2 s or more.
+/// A leaving owner may be used for this long; it serves for 2 s or more.
 constexpr milliseconds leaving_owner{1'500};
 /// Puts servers that may have left behind all others.
 constexpr double doubtful_cost_ms = 60'000;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// Changes of servers within this time are gathered into one call to the store. Calls grow with
-/// the hosts; leaving servers must be known well within `drainS`, 2 s or more.
+/// the hosts; a leaving server serves for 2 s or more, and must be known well before.
 constexpr milliseconds gather_per_host{8};
 constexpr milliseconds least_gather{80};
 constexpr milliseconds most_gather{700};
--- a/libs/gateway/src/table_watch.cpp
+++ b/libs/gateway/src/table_watch.cpp
@@ -30,15 +30,6 @@
     this->read();
 }
 
-void table_watch::refresh() {
-    this->store.read(this->table, [this](result<table_content> answer) {
-        if (answer) {
-            this->succeeded_at = wire::event_loop::now();
-            this->handler({std::move(*answer), true, false});
-        }
-    });
-}
-
 void table_watch::failed(const status& error) {
     ++this->failures;
     if (this->failures == 1) {
@@ -72,7 +63,6 @@
         }
         this->failures = 0;
         this->has_content = true;
-        this->succeeded_at = wire::event_loop::now();
         this->version = answer->version;
         this->handler({std::move(*answer), true, after_outage});
         this->loop.call_after(this->gather, [this] { this->watch(); });
@@ -91,7 +81,6 @@
                                 {{"table", this->table}, {"version", answer->version}});
         }
         this->failures = 0;
-        this->succeeded_at = wire::event_loop::now();
         this->version = std::max(this->version, answer->version);
         const bool changed = !answer->rows.empty();
         if (changed) {
--- a/libs/wire/src/stream.cpp
+++ b/libs/wire/src/stream.cpp
@@ -17,7 +17,8 @@
 namespace {
 
 /// Unacknowledged data ends a connection after this time; a peer without power or behind a
-/// partition answers nothing. Longer than `stableWindowS` of the platform's settings.
+/// partition answers nothing. Longer than a short interruption of a link, after which data still
+/// flows.
 constexpr unsigned user_timeout_ms = 8'000;
 /// Time for which a closed connection still discards what the peer sends.
 constexpr milliseconds linger{1'000};
