--- a/libs/gateway/include/gateway/table_watch.h
+++ b/libs/gateway/include/gateway/table_watch.h
@@ -31,7 +31,6 @@
     void start();
     void set_gather(milliseconds pause) { this->gather = pause; }
     bool reachable() const { return this->failures == 0 && this->has_content; }
-    time_point last_success() const { return this->succeeded_at; }
 
 private:
     void read();
