--- a/libs/wire/include/wire/loop.h
+++ b/libs/wire/include/wire/loop.h
@@ -38,6 +38,10 @@
     /// Calls `action` for each arrival of the signal.
     void on_signal(int number, std::function<void()> action);
 
+    /// Calls `close` when the loop is destroyed, unless `forget` was called for `owner` before.
+    void close_at_end(const void* owner, std::function<void()> close);
+    void forget(const void* owner);
+
     /// For the other classes of this library.
     uv_loop_s* native();
 
--- a/libs/wire/src/loop.cpp
+++ b/libs/wire/src/loop.cpp
@@ -27,6 +27,7 @@
     /// Time for which `timer` is armed.
     time_point armed = time_point::max();
     std::vector<std::unique_ptr<signal_watch>> signals;
+    std::unordered_map<const void*, std::function<void()>> closers;
 
     void arm(time_point now) {
         if (this->due.empty()) {
@@ -65,6 +66,12 @@
 }
 
 event_loop::~event_loop() {
+    while (!this->implementation->closers.empty()) {
+        const auto next = this->implementation->closers.begin();
+        const auto close = std::move(next->second);
+        this->implementation->closers.erase(next);
+        close();
+    }
     uv_walk(
         &this->implementation->loop,
         [](uv_handle_t* handle, void*) {
@@ -121,6 +128,14 @@
     this->implementation->signals.push_back(std::move(watch));
 }
 
+void event_loop::close_at_end(const void* owner, std::function<void()> close) {
+    this->implementation->closers[owner] = std::move(close);
+}
+
+void event_loop::forget(const void* owner) {
+    this->implementation->closers.erase(owner);
+}
+
 uv_loop_s* event_loop::native() {
     return &this->implementation->loop;
 }
--- a/libs/wire/src/stream.cpp
+++ b/libs/wire/src/stream.cpp
@@ -110,6 +110,7 @@
         uv_tcp_init(this->loop.native(), &this->handle);
         this->handle.data = this;
         this->self = own;
+        this->loop.close_at_end(this, [this] { this->close(); });
     }
 
     void close() {
@@ -118,7 +119,8 @@
         }
         this->closing = true;
         this->loop.cancel(this->linger_timer);
-        this->handlers = {};
+        this->loop.forget(this);
+        const auto released_handlers = std::exchange(this->handlers, {});
         uv_close(this->as_handle(), [](uv_handle_t* closed) {
             const auto released = std::move(static_cast<state*>(closed->data)->self);
         });
