Keep requests of undivided services in their region while it serves them in time

A remote server was taken as soon as it was expected to answer 24 ms sooner, although both answers would have had their full value.

Ruled out: homes for keys; callers of all regions ask for all keys.

Change: placement_cost adds 0.3 of the route's target latency to servers of another region. The test plays one region's callers against servers of three regions at two loads.

--- a/libs/gateway/include/gateway/balancer.h
+++ b/libs/gateway/include/gateway/balancer.h
@@ -34,6 +34,10 @@
     milliseconds pause{1'000};
     /// Service time assumed before any has been measured.
     double first_latency_ms = 80.0;
+    /// Part of a route's target latency by which a server of another region must answer sooner
+    /// than the servers of this one: traffic between regions is paid by volume, and an answer
+    /// within the target has its full value.
+    double crossing_share = 0.3;
 };
 
 /// What a host knows of one server.
@@ -70,6 +74,12 @@
 double expected_ms(const server_state& server, distance far, const balancer_settings& settings,
                    time_point now);
 
+/// What sending one more request to the server costs, in milliseconds of waiting: the expected time
+/// and, for a server of another region, the price of the traffic between regions.
+/// @param target_latency  time within which the answer has its full value; 0 if there is none
+double placement_cost(const server_state& server, distance far, milliseconds target_latency,
+                      const balancer_settings& settings, time_point now);
+
 /// Whether the server may get work now: registered, not leaving, not paused.
 bool is_available(const server_state& server, time_point now);
 
--- a/libs/gateway/src/balancer.cpp
+++ b/libs/gateway/src/balancer.cpp
@@ -61,6 +61,15 @@
     return travel + (service + wait) * (1 + failure_cost * server.failure_share);
 }
 
+double placement_cost(const server_state& server, distance far, milliseconds target_latency,
+                      const balancer_settings& settings, time_point now) {
+    const double crossing =
+        far == distance::other_region
+            ? settings.crossing_share * static_cast<double>(target_latency.count())
+            : 0.0;
+    return expected_ms(server, far, settings, now) + crossing;
+}
+
 bool is_available(const server_state& server, time_point now) {
     return !server.entry.draining && !server.ended && now >= server.paused_until;
 }
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -490,7 +490,8 @@
             server.in_flight >= concurrency_limit(server, this->hosts, rules, now)) {
             continue;
         }
-        const double ms = expected_ms(server, this->far(server.entry), rules, now) +
+        const double ms = placement_cost(server, this->far(server.entry),
+                                         one.chosen->target_latency, rules, now) +
                           this->draw() +  // Spreads requests over equal servers.
                           (server.doubtful ? doubtful_cost_ms : 0);
         if (best == nullptr || ms < best_ms) {
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -7,9 +7,12 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -157,6 +160,73 @@
     }
 };
 
+struct crossing_result {
+    int sent = 0;
+    int crossed = 0;
+    int in_time = 0;
+};
+
+/// Plays the callers of one region against servers of unequal speed in three regions for 20 s.
+/// @param per_region  servers of a region
+/// @param per_second  requests a second for each server of the callers' region
+crossing_result play_regions(int per_region, double per_second, double crossing_share) {
+    constexpr double speeds[] = {0.7, 0.7, 1.6};
+    constexpr double work_ms = 130;
+    constexpr auto target = 500ms;
+    constexpr auto length = 20s;
+    constexpr int regions = 3;
+    constexpr double us_per_ms = 1e3;
+    constexpr double us_per_second = 1e6;
+    const auto to_us = [](double value) {
+        return gg::microseconds(static_cast<std::int64_t>(value));
+    };
+    gateway::balancer_settings settings;
+    settings.crossing_share = crossing_share;
+    std::vector<gateway::server_state> servers(static_cast<std::size_t>(per_region * regions));
+    // Times at which the slots of each server are free.
+    std::vector<std::vector<gg::time_point>> slots(servers.size(), {start, start, start});
+    for (gateway::server_state& server : servers) {
+        server.entry.slots = 3;
+    }
+    const auto far = [&](std::size_t index) {
+        return index < static_cast<std::size_t>(per_region) ? gateway::distance::same_region
+                                                            : gateway::distance::other_region;
+    };
+    std::multimap<gg::time_point, std::pair<std::size_t, gg::microseconds>> answers;
+    std::mt19937_64 random(1);
+    std::exponential_distribution<double> gap(per_second * per_region);
+    std::exponential_distribution<double> work(1.0);
+    crossing_result result;
+    for (gg::time_point now = start; now < start + length;
+         now += to_us(gap(random) * us_per_second)) {
+        while (!answers.empty() && answers.begin()->first <= now) {
+            const auto [index, took] = answers.begin()->second;
+            --servers[index].in_flight;
+            record_answer(servers[index], took, false, settings, answers.begin()->first);
+            answers.erase(answers.begin());
+        }
+        std::size_t best = 0;
+        for (std::size_t index = 1; index < servers.size(); ++index) {
+            if (placement_cost(servers[index], far(index), target, settings, now) <
+                placement_cost(servers[best], far(best), target, settings, now)) {
+                best = index;
+            }
+        }
+        const double ms = (0.5 + 0.5 * work(random)) * work_ms / speeds[best % std::size(speeds)];
+        const bool crosses = far(best) == gateway::distance::other_region;
+        auto& slot = *std::min_element(slots[best].begin(), slots[best].end());
+        slot = std::max(slot, now) + to_us(ms * us_per_ms);
+        const auto end = slot + to_us(crosses ? 2 * settings.far_ms * us_per_ms : 0);
+        const auto took = std::chrono::duration_cast<gg::microseconds>(end - now);
+        ++servers[best].in_flight;
+        answers.emplace(end, std::pair(best, took));
+        ++result.sent;
+        result.crossed += crosses ? 1 : 0;
+        result.in_time += took <= target ? 1 : 0;
+    }
+    return result;
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(longest_prefix_selects_the_route) {
@@ -212,6 +282,19 @@
     BOOST_TEST(concurrency_limit(server, hosts, settings, start) * hosts <= queue_and_slots);
 }
 
+// Guards against answers that cross regions although the caller's own region serves them in time,
+// and against a region that keeps requests which others would serve in time.
+BOOST_AUTO_TEST_CASE(requests_cross_regions_only_for_their_target) {
+    const crossing_result cheap = play_regions(3, 10.0, 0.3);
+    const crossing_result fast = play_regions(3, 10.0, 0.0);
+    BOOST_TEST(cheap.crossed * 2 < fast.crossed);
+    BOOST_TEST(cheap.in_time >= fast.in_time - fast.sent / 100);
+    // One region's callers send more than its servers can run.
+    const crossing_result crest = play_regions(3, 30.0, 0.3);
+    BOOST_TEST(crest.crossed > 0);
+    BOOST_TEST(crest.in_time * 100 >= crest.sent * 95);
+}
+
 // Guards against a failing server that keeps its share of the work.
 BOOST_AUTO_TEST_CASE(failing_server_is_paused_and_comes_back) {
     const gateway::balancer_settings settings;
