Write a trail of decisions for each request to standard output, and explain it

Cause: operators could not trace a request that was served late, and of the others only single lines: each event had its own limit of 20 lines a second. Lines went to standard error by blocking writes, so a reader that stood still would have stopped the process.

Ruled out: a writer thread (the machine runs one thread at a time); making standard output non-blocking (it may be shared).

A killed process writes no lines about its open requests.

--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -334,6 +334,12 @@
             continue;
         }
         this->known_versions[service] = update.version;
+        telemetry::log_info(this->log, "owners_learned",
+                            {{"service", service.value()},
+                             {"term", answer.term},
+                             {"version", update.version},
+                             {"changed", update.ranges.size()},
+                             {"ranges", known.ranges.size()}});
         this->owners(service, known);
     }
     if (answer.has_store) {
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -120,6 +120,13 @@
     }
 };
 
+/// Age of something that has never been learned.
+constexpr milliseconds no_age{-1};
+
+milliseconds age_of(time_point learned, time_point now) {
+    return learned == time_point{} ? no_age : std::chrono::floor<milliseconds>(now - learned);
+}
+
 /// Position of the range that has the key, in a table that covers all keys.
 std::size_t position_of(const ranges::range_table& table, ranges::key_position key) {
     const auto found =
@@ -161,13 +168,21 @@
     /// A failure of a server that is passed on if no other server answers better.
     std::optional<wire::response> fallback;
     bool done = false;
+    telemetry::request_trail trail{""};
 };
 
 using exchange_handle = std::shared_ptr<exchange>;
 
+/// A server for a request, or why there is none now.
+struct placement {
+    server_state* server = nullptr;
+    std::string_view obstacle;
+};
+
 struct service_state {
     std::map<server_id, server_state> servers;
     ranges::range_table owners;
+    time_point owners_learned;
     /// By position in `owners`: its owner has refused a key, and one request asks it again at that
     /// time while the others wait.
     std::vector<time_point> moving;
@@ -227,11 +242,15 @@
 
     void accept(const std::shared_ptr<wire::incoming>& request);
     void begin(const exchange_handle& one);
-    server_state* choose(const exchange& one, service_state& own, time_point now);
+    placement choose(const exchange& one, service_state& own, time_point now);
+    placement choose_owner(const exchange& one, service_state& own, time_point now);
     bool place(const exchange_handle& one, service_state& own, time_point now);
     bool is_hopeless(const exchange& one, const service_state& own, time_point now) const;
     double wait_estimate(const exchange& one, const service_state& own, time_point now) const;
     void send(const exchange_handle& one, server_state& server, time_point now);
+    void log_sent(const exchange_handle& one, const service_state& own, const server_state& server,
+                  milliseconds left, time_point now);
+    void log_pause(const server_state& server, time_point paused_before, time_point now);
     void on_result(const exchange_handle& one, wire::call_result outcome);
     void on_response(const exchange_handle& one, wire::response message, time_point now);
     void on_not_run(const exchange_handle& one, int status, time_point now);
@@ -337,6 +356,7 @@
     state& own = *this->implementation;
     service_state& target = own.service_of(service, wire::event_loop::now());
     target.owners = std::move(owners);
+    target.owners_learned = wire::event_loop::now();
     target.moving.assign(target.owners.ranges.size(), time_point{});
     for (const exchange_handle& one : target.waiting) {
         one->not_before = {};
@@ -363,11 +383,12 @@
 void front::state::reply_at_once(const std::shared_ptr<wire::incoming>& request, int status,
                                  gateway_errc reason) {
     const std::string* id = wire::find_header(request->message().headers, this->names.request_id);
-    telemetry::log_info(this->log, "request_rejected",
-                        {{"request", id != nullptr ? std::string_view(*id) : std::string_view()},
-                         {"status", status},
-                         {"error", make_error_code(reason)},
-                         {"config", this->config ? this->config->version : 0}});
+    telemetry::request_trail trail(id != nullptr ? *id : std::string());
+    this->log.add(trail, telemetry::level::warning, "request_rejected",
+                  {{"status", status},
+                   {"error", make_error_code(reason)},
+                   {"config", this->config ? this->config->version : 0}});
+    this->log.write(trail, wire::event_loop::now());
     wire::response message;
     message.code = status;
     message.reason = reason_phrase(status);
@@ -427,6 +448,14 @@
     if (const std::string* id = wire::find_header(message.headers, this->names.request_id)) {
         one->id = *id;
     }
+    one->trail = telemetry::request_trail(one->id);
+    this->log.add(one->trail, telemetry::level::info, "request_accepted",
+                  {{"route", chosen->name},
+                   {"service", one->service.value()},
+                   {"key", one->divided ? static_cast<std::int64_t>(one->key) : -1},
+                   {"safe", chosen->kind == request_kind::safe},
+                   {"allowed", allowed},
+                   {"config", this->config->version}});
     one->message = std::move(request->message());
     // The connection's state of the caller is needed for the answer.
     request->message().method = one->message.method;
@@ -462,27 +491,40 @@
     this->enqueue(one, own);
 }
 
-server_state* front::state::choose(const exchange& one, service_state& own, time_point now) {
+/// The owner of the request's key, if it may get one more request.
+placement front::state::choose_owner(const exchange& one, service_state& own, time_point now) {
+    const ranges::server_life* owner = owner_of(own.owners, one.key);
+    if (owner == nullptr) {
+        return {nullptr, "no_owner"};
+    }
+    if (now < own.moving[position_of(own.owners, one.key)]) {
+        return {nullptr, "range_moving"};
+    }
+    const auto found = own.servers.find(owner->id);
+    if (found == own.servers.end() || found->second.entry.life != *owner) {
+        return {nullptr, "owner_not_registered"};
+    }
+    server_state& server = found->second;
+    if (server.ended || (server.entry.draining && now > server.leaving_since + leaving_owner)) {
+        return {nullptr, "owner_left"};
+    }
+    if (now < server.paused_until) {
+        return {nullptr, "owner_paused"};
+    }
+    if (server.in_flight >= concurrency_limit(server, this->hosts, this->settings.balancer, now)) {
+        return {nullptr, "owner_full"};
+    }
+    return {&server, {}};
+}
+
+placement front::state::choose(const exchange& one, service_state& own, time_point now) {
     if (now < one.not_before) {
-        return nullptr;
+        return {nullptr, "pause_after_failure"};
     }
-    const balancer_settings& rules = this->settings.balancer;
     if (one.divided) {
-        const ranges::server_life* owner = owner_of(own.owners, one.key);
-        if (owner == nullptr || now < own.moving[position_of(own.owners, one.key)]) {
-            return nullptr;
-        }
-        const auto found = own.servers.find(owner->id);
-        if (found == own.servers.end() || found->second.entry.life != *owner) {
-            return nullptr;
-        }
-        server_state& server = found->second;
-        const bool left = server.entry.draining && now > server.leaving_since + leaving_owner;
-        return !left && !server.ended && now >= server.paused_until &&
-                       server.in_flight < concurrency_limit(server, this->hosts, rules, now)
-                   ? &server
-                   : nullptr;
+        return this->choose_owner(one, own, now);
     }
+    const balancer_settings& rules = this->settings.balancer;
     server_state* best = nullptr;
     double best_ms = 0;
     for (auto& [id, server] : own.servers) {
@@ -499,18 +541,49 @@
             best_ms = ms;
         }
     }
-    return best;
+    return {best, best == nullptr ? "no_server_free" : std::string_view()};
 }
 
 bool front::state::place(const exchange_handle& one, service_state& own, time_point now) {
-    server_state* const server = this->choose(*one, own, now);
-    if (server == nullptr) {
+    const placement found = this->choose(*one, own, now);
+    if (found.server == nullptr) {
+        this->log.add(one->trail, telemetry::level::info, "request_waits",
+                      {{"reason", found.obstacle},
+                       {"queue", own.waiting.size()},
+                       {"servers", own.servers.size()},
+                       {"owners_age", age_of(own.owners_learned, now)}});
         return false;
     }
-    this->send(one, *server, now);
+    this->send(one, *found.server, now);
     return true;
 }
 
+void front::state::log_sent(const exchange_handle& one, const service_state& own,
+                            const server_state& server, milliseconds left, time_point now) {
+    this->log.add(one->trail, telemetry::level::info, "request_sent",
+                  {{"server", server.entry.life.id.value()},
+                   {"attempt", one->sends},
+                   {"left", left},
+                   {"in_flight", server.in_flight},
+                   {"limit", concurrency_limit(server, this->hosts, this->settings.balancer, now)},
+                   {"running", server.stated.running},
+                   {"waiting", server.stated.waiting},
+                   {"load_age", age_of(server.stated_at, now)},
+                   {"owners_age", one->divided ? age_of(own.owners_learned, now) : no_age},
+                   {"doubtful", server.doubtful}});
+}
+
+/// A server gets no work for a time: what this host believes of it has changed.
+void front::state::log_pause(const server_state& server, time_point paused_before, time_point now) {
+    if (server.paused_until > paused_before && server.paused_until > now) {
+        telemetry::log_info(this->log, "server_paused",
+                            {{"server", server.entry.life.id.value()},
+                             {"until", std::chrono::floor<milliseconds>(server.paused_until - now)},
+                             {"failures", this->settings.balancer.failures},
+                             {"failure_share", server.failure_share}});
+    }
+}
+
 double front::state::wait_estimate(const exchange& one, const service_state& own,
                                    time_point now) const {
     int ahead = 0;
@@ -573,6 +646,7 @@
         }
     }
     ++one->sends;
+    this->log_sent(one, own, server, left, now);
     one->in_flight = true;
     one->running_at = server.entry.life.id;
     one->sent_at = now;
@@ -620,11 +694,12 @@
     const auto found = own.servers.find(one->running_at);
     server_state* const server = found == own.servers.end() ? nullptr : &found->second;
     if (outcome.error && !outcome.sent) {
-        telemetry::log_info(
-            this->log, "server_unreachable",
-            {{"request", one->id}, {"server", one->running_at.value()}, {"error", outcome.error}});
+        this->log.add(one->trail, telemetry::level::warning, "server_unreachable",
+                      {{"server", one->running_at.value()}, {"error", outcome.error}});
         if (server != nullptr) {
+            const time_point before = server->paused_until;
             record_loss(*server, this->settings.balancer, now);
+            this->log_pause(*server, before, now);
         }
         one->tried.insert(one->running_at);
         if (++one->unreached >= unreachable_tries) {
@@ -637,7 +712,9 @@
     }
     if (outcome.error) {
         if (server != nullptr) {
+            const time_point before = server->paused_until;
             record_loss(*server, this->settings.balancer, now);
+            this->log_pause(*server, before, now);
         }
         one->may_have_run = true;
         this->on_failure(one, outcome.error, now);
@@ -676,8 +753,10 @@
     const auto took = std::chrono::duration_cast<microseconds>(now - one->sent_at);
     const bool failed = outcome.message.code >= code::first_server_failure;
     if (server != nullptr) {
+        const time_point before = server->paused_until;
         record_answer(*server, took, failed && outcome.message.code != code::gateway_timeout,
                       this->settings.balancer, now);
+        this->log_pause(*server, before, now);
     }
     if (!failed) {
         const double ms = std::chrono::duration<double, std::milli>(took).count();
@@ -713,6 +792,12 @@
     const bool failed = message.code >= code::first_server_failure;
     if (failed && message.code != code::gateway_timeout &&
         one->chosen->kind == request_kind::safe && this->may_retry(*one, now)) {
+        this->log.add(one->trail, telemetry::level::warning, "attempt_failed",
+                      {{"server", one->running_at.value()},
+                       {"status", message.code},
+                       {"attempt", one->sends},
+                       {"took", age_of(one->sent_at, now)},
+                       {"again", true}});
         one->fallback = std::move(message);
         one->tried.insert(one->running_at);
         this->requeue(one, milliseconds{0}, now);
@@ -724,6 +809,10 @@
 /// The server states that the request has not run.
 void front::state::on_not_run(const exchange_handle& one, int status, time_point now) {
     service_state& own = this->service_of(one->service, now);
+    this->log.add(one->trail, telemetry::level::info, "server_refused",
+                  {{"server", one->running_at.value()},
+                   {"status", status},
+                   {"owners_age", one->divided ? age_of(own.owners_learned, now) : no_age}});
     if (status == code::misdirected) {
         ++one->moved;
         if (!one->divided) {
@@ -771,13 +860,13 @@
 /// The request was sent, and no acceptable answer came.
 void front::state::on_failure(const exchange_handle& one, const status& error, time_point now) {
     const bool again = one->chosen->kind == request_kind::safe && this->may_retry(*one, now);
-    telemetry::log_info(this->log, "attempt_failed",
-                        {{"request", one->id},
-                         {"server", one->running_at.value()},
-                         {"error", error},
-                         {"reason", error.message()},
-                         {"attempt", one->sends},
-                         {"again", again}});
+    this->log.add(one->trail, telemetry::level::warning, "attempt_failed",
+                  {{"server", one->running_at.value()},
+                   {"error", error},
+                   {"reason", error.message()},
+                   {"attempt", one->sends},
+                   {"took", age_of(one->sent_at, now)},
+                   {"again", again}});
     one->tried.insert(one->running_at);
     if (again) {
         this->requeue(one, milliseconds{0}, now);
@@ -832,10 +921,10 @@
             next = own.waiting.erase(next);
             continue;
         }
-        server_state* const server = this->choose(*one, own, now);
-        if (server != nullptr) {
+        const placement found = this->choose(*one, own, now);
+        if (found.server != nullptr) {
             next = own.waiting.erase(next);
-            this->send(one, *server, now);
+            this->send(one, *found.server, now);
             continue;
         }
         const double left = std::chrono::duration<double, std::milli>(one->give_up - now).count();
@@ -860,14 +949,15 @@
     const double wait_ms = std::max<double>(static_cast<double>(least_retry_after.count()),
                                             this->wait_estimate(*one, own, now) / 2) *
                            (1.0 + this->draw());
-    telemetry::log_info(this->log, "request_refused",
-                        {{"request", one->id},
-                         {"service", one->service.value()},
-                         {"error", make_error_code(reason)},
-                         {"waited", std::chrono::floor<milliseconds>(now - one->arrived)},
-                         {"left", std::chrono::floor<milliseconds>(one->give_up - now)},
-                         {"queue", own.waiting.size()},
-                         {"config", one->config->version}});
+    this->log.add(one->trail, telemetry::level::warning, "request_refused",
+                  {{"service", one->service.value()},
+                   {"error", make_error_code(reason)},
+                   {"waited", age_of(one->arrived, now)},
+                   {"left", std::chrono::floor<milliseconds>(one->give_up - now)},
+                   {"queue", own.waiting.size()},
+                   {"retry_after", milliseconds(std::llround(wait_ms))},
+                   {"owners_age", one->divided ? age_of(own.owners_learned, now) : no_age},
+                   {"config", one->config->version}});
     this->refused_count.add();
     wire::response message;
     message.code = code::unavailable;
@@ -884,15 +974,14 @@
         this->answer(one, std::move(*one->fallback));
         return;
     }
-    telemetry::log_warning(this->log, "request_failed",
-                           {{"request", one->id},
-                            {"service", one->service.value()},
-                            {"server", one->running_at.value()},
-                            {"status", status},
-                            {"error", make_error_code(reason)},
-                            {"waited", std::chrono::floor<milliseconds>(now - one->arrived)},
-                            {"sends", one->sends},
-                            {"config", one->config->version}});
+    this->log.add(one->trail, telemetry::level::warning, "request_failed",
+                  {{"service", one->service.value()},
+                   {"server", one->running_at.value()},
+                   {"status", status},
+                   {"error", make_error_code(reason)},
+                   {"waited", age_of(one->arrived, now)},
+                   {"sends", one->sends},
+                   {"config", one->config->version}});
     this->failed_count.add();
     wire::response message;
     message.code = status;
@@ -910,6 +999,13 @@
     this->loop.cancel(one->expiry);
     const time_point now = wire::event_loop::now();
     this->request_time.observe(std::chrono::duration_cast<microseconds>(now - one->arrived));
+    this->log.add(one->trail, telemetry::level::info, "request_answered",
+                  {{"status", message.code},
+                   {"server", one->running_at.value()},
+                   {"waited", age_of(one->arrived, now)},
+                   {"sends", one->sends},
+                   {"bytes", message.body.size()}});
+    this->log.write(one->trail, now);
     if (message.code < code::first_failure) {
         this->answered_count.add();
     }
@@ -957,6 +1053,12 @@
     --this->open;
     this->left_count.add();
     this->loop.cancel(one->expiry);
+    const time_point now = wire::event_loop::now();
+    this->log.add(one->trail, telemetry::level::info, "caller_left",
+                  {{"waited", age_of(one->arrived, now)},
+                   {"in_flight", one->in_flight},
+                   {"server", one->running_at.value()}});
+    this->log.write(one->trail, now);
     if (one->in_flight) {
         this->detach(one);
         this->upstreams.cancel(one->call);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -22,6 +22,8 @@
 /// Kept for the last answers to leave.
 constexpr milliseconds end_margin{400};
 constexpr milliseconds expire_every{50};
+/// Of the schema in docs/logs.md; raised when a field changes its meaning or goes.
+constexpr int log_version = 1;
 
 wire::response text_reply(int status, std::string_view reason, std::string body) {
     wire::response reply;
@@ -204,6 +206,7 @@
 
     void expire_servers() {
         const time_point now = wire::event_loop::now();
+        this->log.flush();
         this->ownership.set_store_reachable(this->term_watch.reachable());
         if (this->servers.expire(now)) {
             this->servers_changed(now);
@@ -277,7 +280,10 @@
     own.ownership.start();
     own.expire_servers();
     telemetry::log_info(own.log, "started",
-                        {{"front", own.settings.front.port}, {"peers", own.settings.peers.port}});
+                        {{"front", own.settings.front.port},
+                         {"peers", own.settings.peers.port},
+                         {"data_centre", own.settings.data_centre.value()},
+                         {"log_version", log_version}});
     return {};
 }
 
--- a/libs/telemetry/include/telemetry/logger.h
+++ b/libs/telemetry/include/telemetry/logger.h
@@ -4,12 +4,14 @@
 #include "base/time.h"
 
 #include <concepts>
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <system_error>
+#include <utility>
 #include <variant>
 
 namespace greengagechute::telemetry {
@@ -51,10 +53,15 @@
     }
 };
 
+enum class log_output { standard_error, standard_output };
+
 struct logger_options {
     level minimum = level::info;
-    /// Directory of the log file `greengagechute.log`; empty for standard error.
+    /// Directory of the log file `greengagechute.log`; empty for `output`.
     std::string directory;
+    /// Standard output is never waited for: lines that its reader does not take in time are
+    /// dropped, routine ones first, and a line `log_lines_dropped` counts them.
+    log_output output = log_output::standard_error;
     /// Value of the field `host` of each line.
     std::string host;
     /// Lines per event name and second; further ones are dropped, and the next line of the event
@@ -62,6 +69,19 @@
     std::uint32_t lines_per_second = 20;
 };
 
+/// Lines about one request, written or dropped together, so that what is there is whole.
+class request_trail {
+public:
+    explicit request_trail(std::string request_id) : request(std::move(request_id)) {}
+
+private:
+    friend class logger;
+    std::string request;
+    std::string lines;
+    /// A line is a warning or an error: kept before the trails of other requests.
+    bool failed = false;
+};
+
 /// Writes one JSON object a line: time, level, host, event, then the fields. Thread-safe.
 class logger {
 public:
@@ -77,6 +97,16 @@
     void write(level severity, std::string_view event, std::initializer_list<field> fields,
                time_point now);
 
+    /// Adds a line to a request's trail, with the present time and the request's id. A trail has at
+    /// most `most_trail_bytes`; further lines are left out, but for warnings and errors.
+    void add(request_trail& trail, level severity, std::string_view event,
+             std::initializer_list<field> fields);
+    static constexpr std::size_t most_trail_bytes = 8'192;
+    /// Writes the lines of a request that has ended.
+    void write(const request_trail& trail, time_point now);
+    /// Writes lines that wait for the reader of standard output.
+    void flush();
+
     bool enabled(level severity) const;
 
 private:
--- a/libs/telemetry/src/json_line.h
+++ b/libs/telemetry/src/json_line.h
@@ -3,7 +3,7 @@
 #include "telemetry/logger.h"
 
 #include <cstdint>
-#include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -16,7 +16,7 @@
     std::string_view event;
     /// Lines of this event that were dropped before this one.
     std::uint64_t dropped = 0;
-    std::initializer_list<field> fields;
+    std::span<const field> fields;
 };
 
 /// The members as JSON without the enclosing braces. Bytes that are not UTF-8 are replaced, long
--- a/libs/telemetry/src/logger.cpp
+++ b/libs/telemetry/src/logger.cpp
@@ -1,6 +1,7 @@
 #include "telemetry/logger.h"
 
 #include "json_line.h"
+#include "line_writer.h"
 #include "rate_limit.h"
 #include "telemetry/errors.h"
 
@@ -14,7 +15,10 @@
 #include <cstddef>
 #include <cstdio>
 #include <ctime>
+#include <mutex>
+#include <optional>
 #include <utility>
+#include <vector>
 
 namespace greengagechute::telemetry {
 
@@ -51,16 +55,16 @@
     return google::GLOG_ERROR;
 }
 
-std::string time_text(const google::LogMessageTime& time) {
-    const std::time_t seconds = time.timestamp();
+constexpr int microseconds_per_second = 1'000'000;
+
+std::string time_text(std::time_t seconds, std::int64_t microseconds) {
     std::tm parts{};
     gmtime_r(&seconds, &parts);
     std::array<char, 40> text{};
     const std::size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
     std::array<char, 16> fraction{};
-    constexpr int microseconds_per_second = 1'000'000;
     std::snprintf(fraction.data(), fraction.size(), ".%06dZ",
-                  time.usec() % microseconds_per_second);
+                  static_cast<int>(microseconds % microseconds_per_second));
     return std::string(text.data(), length) + fraction.data();
 }
 
@@ -134,37 +138,88 @@
     std::time_t last_check = 0;
 };
 
+std::string present_time_text() {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto seconds = std::chrono::floor<std::chrono::seconds>(now);
+    return time_text(seconds.count(),
+                     std::chrono::duration_cast<microseconds>(now - seconds).count());
+}
+
 /// Receives the inner part of each object from glog, which calls it under its lock, adds the time
 /// and writes the line.
 class json_sink : public google::LogSink {
 public:
-    explicit json_sink(std::string path) : file(std::move(path)) {}
+    json_sink(const std::string& path, log_output output, std::string own_host)
+        : file(path), host(std::move(own_host)) {
+        if (path.empty() && output == log_output::standard_output) {
+            this->writer.emplace(STDOUT_FILENO, line_writer_limits{});
+        }
+    }
 
     bool is_open() const { return this->file.is_open(); }
 
+    void write_lines(std::string lines, line_class importance, time_point now) {
+        const std::lock_guard guard(this->lock);
+        if (!this->writer) {
+            this->file.write_line(
+                lines, std::chrono::system_clock::to_time_t(std::chrono::system_clock::now()));
+            return;
+        }
+        if (this->writer->has_dropped()) {
+            const dropped_lines dropped = this->writer->take_dropped();
+            const field counts[] = {{"routine", dropped.routine}, {"failures", dropped.failures}};
+            const std::string members =
+                format_members({"warning", this->host, "log_lines_dropped", 0, counts});
+            const std::string line = whole_line(present_time_text(), members);
+            if (!this->writer->write(line, line_class::failure, now)) {
+                this->writer->restore_dropped(dropped);
+            }
+        }
+        this->writer->write(std::move(lines), importance, now);
+    }
+
+    void flush() {
+        const std::lock_guard guard(this->lock);
+        if (this->writer) {
+            this->writer->flush();
+        }
+    }
+
+    static std::string whole_line(const std::string& time, std::string_view members) {
+        std::string text = "{\"time\":\"" + time + "\",";
+        text += members;
+        text += "}\n";
+        return text;
+    }
+
     using google::LogSink::send;
     void send(google::LogSeverity severity, const char* full_filename, const char* base_filename,
               int line, const google::LogMessageTime& time, const char* message,
               std::size_t length) override {
-        static_cast<void>(severity);
         static_cast<void>(full_filename);
         static_cast<void>(base_filename);
         static_cast<void>(line);
-        std::string text = "{\"time\":\"" + time_text(time) + "\",";
-        text.append(message, length);
-        text += "}\n";
-        this->file.write_line(text, time.timestamp());
+        this->write_lines(
+            whole_line(time_text(time.timestamp(), time.usec()), std::string_view(message, length)),
+            severity == google::GLOG_INFO ? line_class::routine : line_class::failure,
+            std::chrono::steady_clock::now());
     }
 
 private:
+    std::mutex lock;
     line_file file;
+    std::optional<line_writer> writer;
+    /// For the line that counts dropped ones.
+    std::string host;
 };
 
 }  // namespace
 
 struct logger::state {
-    state(const logger_options& initial, std::string path)
-        : options(initial), limit(initial.lines_per_second), sink(std::move(path)) {}
+    state(const logger_options& initial, const std::string& path)
+        : options(initial),
+          limit(initial.lines_per_second),
+          sink(path, initial.output, initial.host) {}
 
     logger_options options;
     rate_limit limit;
@@ -176,7 +231,7 @@
     if (!path.empty()) {
         path += log_file_name;
     }
-    auto initial = std::make_unique<state>(options, std::move(path));
+    auto initial = std::make_unique<state>(options, path);
     if (!initial->sink.is_open()) {
         return make_error_code(telemetry_errc::log_file_failed);
     }
@@ -208,6 +263,34 @@
         << members;
 }
 
+void logger::add(request_trail& trail, level severity, std::string_view event,
+                 std::initializer_list<field> fields) {
+    if (!this->enabled(severity)) {
+        return;
+    }
+    const bool failure = severity == level::warning || severity == level::error;
+    trail.failed = trail.failed || failure;
+    if (trail.lines.size() > most_trail_bytes && !failure) {
+        return;
+    }
+    std::vector<field> members{{"request", trail.request}};
+    members.insert(members.end(), fields.begin(), fields.end());
+    trail.lines += json_sink::whole_line(
+        present_time_text(),
+        format_members({name_of(severity), this->implementation->options.host, event, 0, members}));
+}
+
+void logger::write(const request_trail& trail, time_point now) {
+    if (!trail.lines.empty()) {
+        this->implementation->sink.write_lines(
+            trail.lines, trail.failed ? line_class::failure : line_class::routine, now);
+    }
+}
+
+void logger::flush() {
+    this->implementation->sink.flush();
+}
+
 void log_debug(logger& log, std::string_view event, std::initializer_list<field> fields) {
     log.write(level::debug, event, fields, std::chrono::steady_clock::now());
 }
--- a/libs/telemetry/tests/telemetry_test.cpp
+++ b/libs/telemetry/tests/telemetry_test.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE telemetry
+#include "line_writer.h"
 #include "telemetry/errors.h"
 #include "telemetry/logger.h"
 #include "telemetry/metric_names.h"
@@ -6,6 +7,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
+#include <poll.h>
 #include <unistd.h>
 
 #include <chrono>
@@ -54,6 +56,35 @@
 
 const gg::time_point start{std::chrono::seconds(1'000)};
 
+/// A pipe of which the test is the only reader.
+struct unread_pipe {
+    unread_pipe() { BOOST_TEST_REQUIRE(::pipe(this->ends) == 0); }
+    unread_pipe(const unread_pipe&) = delete;
+    unread_pipe& operator=(const unread_pipe&) = delete;
+    ~unread_pipe() {
+        ::close(this->ends[0]);
+        ::close(this->ends[1]);
+    }
+
+    /// Reads what the pipe holds while `writer` goes on.
+    std::string drain(telemetry::line_writer& writer) {
+        std::string text;
+        while (true) {
+            writer.flush();
+            pollfd asked{this->ends[0], POLLIN, 0};
+            if (::poll(&asked, 1, 0) != 1) {
+                return text;
+            }
+            char buffer[65'536];
+            const ssize_t count = ::read(this->ends[0], buffer, sizeof buffer);
+            BOOST_TEST_REQUIRE(count > 0);
+            text.append(buffer, static_cast<std::size_t>(count));
+        }
+    }
+
+    int ends[2] = {-1, -1};
+};
+
 }  // namespace
 
 // Guards against lines that a JSON reader refuses, and against fields that lose their type.
@@ -125,6 +156,73 @@
     BOOST_TEST(lines[3]["dropped"].get<int>() == 3);
 }
 
+// Guards against a process that waits for the reader of its log, against failures that are lost for
+// routine lines, and against drops that leave no trace.
+BOOST_AUTO_TEST_CASE(unread_output_does_not_block) {
+    unread_pipe pipe;
+    telemetry::line_writer_limits limits;
+    limits.waiting_bytes = 20'000;
+    telemetry::line_writer writer(pipe.ends[1], limits);
+    const std::string line(999, 'x');
+    int routine = 0;
+    while (writer.write(line + '\n', telemetry::line_class::routine, start) && routine < 1'000) {
+        ++routine;
+    }
+    BOOST_TEST(routine < 1'000);
+    int failures = 0;
+    while (writer.write(line + '\n', telemetry::line_class::failure, start) && failures < 1'000) {
+        ++failures;
+    }
+    BOOST_TEST(failures >= 10);
+    BOOST_TEST(writer.waiting() <= limits.waiting_bytes);
+    const telemetry::dropped_lines dropped = writer.take_dropped();
+    BOOST_TEST(dropped.routine == 1U);
+    BOOST_TEST(dropped.failures == 1U);
+    const std::string text = pipe.drain(writer);
+    BOOST_TEST(text.size() == static_cast<std::size_t>(routine + failures) * 1'000);
+    BOOST_TEST(writer.waiting() == 0U);
+}
+
+// Guards against routine lines that take a host's processor and disk at the crest of the load.
+BOOST_AUTO_TEST_CASE(routine_lines_have_a_rate) {
+    unread_pipe pipe;
+    telemetry::line_writer_limits limits;
+    limits.routine_bytes_per_second = 10'000;
+    limits.burst = std::chrono::seconds(1);
+    telemetry::line_writer writer(pipe.ends[1], limits);
+    const std::string line(999, 'x');
+    const auto written = [&](telemetry::line_class importance, gg::time_point now) {
+        int count = 0;
+        for (int number = 0; number < 30; ++number) {
+            count += writer.write(line + '\n', importance, now) ? 1 : 0;
+        }
+        return count;
+    };
+    BOOST_TEST(written(telemetry::line_class::routine, start) == 10);
+    BOOST_TEST(written(telemetry::line_class::failure, start) == 30);
+    BOOST_TEST(written(telemetry::line_class::routine, start + std::chrono::milliseconds(500)) ==
+               5);
+}
+
+// Guards against a trail of which a part is missing, and against lines that name no request.
+BOOST_AUTO_TEST_CASE(trail_is_written_at_its_end) {
+    const temporary_directory directory;
+    const auto log = telemetry::logger::create(directory.options());
+    BOOST_TEST_REQUIRE(log.has_value());
+    telemetry::request_trail trail("r-1");
+    for (int count = 0; count < 100; ++count) {
+        (*log)->add(trail, telemetry::level::info, "request_sent", {{"attempt", count}});
+    }
+    BOOST_TEST(directory.lines().empty());
+    (*log)->write(trail, start);
+    const auto lines = directory.lines();
+    BOOST_TEST_REQUIRE(!lines.empty());
+    BOOST_TEST(lines.size() < 100U);
+    BOOST_TEST(lines[0]["request"].get<std::string>() == "r-1");
+    BOOST_TEST(lines[0]["event"].get<std::string>() == "request_sent");
+    BOOST_TEST(lines[0]["host"].get<std::string>() == "host-1");
+}
+
 // Guards against debug lines in operation.
 BOOST_AUTO_TEST_CASE(lines_below_the_level_are_left_out) {
     const temporary_directory directory;
--- a/programs/greengagechute-gateway/main.cpp
+++ b/programs/greengagechute-gateway/main.cpp
@@ -82,6 +82,7 @@
 int run(const gg::adapter::process_settings& settings, const std::string& path) {
     gg::telemetry::logger_options log_options;
     log_options.host = settings.gateway.host.value();
+    log_options.output = gg::telemetry::log_output::standard_output;
     const auto log = gg::telemetry::logger::create(log_options);
     if (!log) {
         std::fprintf(stderr, "greengagechute-gateway: %s\n", log.error().message().c_str());
--- a/programs/greengagechutectl/commands.cpp
+++ b/programs/greengagechutectl/commands.cpp
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/uuid.h"
 #include "exit_codes.h"
+#include "explain.h"
 #include "release/catalogue.h"
 #include "release/note.h"
 #include "sample_note.h"
@@ -315,6 +316,23 @@
     return exit_done;
 }
 
+int run_explain(const command_line& options) {
+    std::vector<std::ifstream> files;
+    files.reserve(options.log_files.size());
+    std::vector<log_source> sources;
+    for (const std::string& name : options.log_files) {
+        files.emplace_back(name);
+        if (!files.back()) {
+            std::fprintf(stderr, "greengagechutectl: %s cannot be read\n", name.c_str());
+            return exit_usage;
+        }
+        sources.push_back({name, &files.back()});
+    }
+    const account found = explain(options.request_id, sources);
+    std::fputs(found.text.c_str(), stdout);
+    return found.found ? exit_done : exit_refused;
+}
+
 int run_sample_note(const command_line& options) {
     std::mt19937_64 generator(std::random_device{}());
     const release::note note = make_sample_note(options, make_uuid7(wall_now(), generator));
@@ -351,6 +369,8 @@
             return run_query(options, "/state", deadline);
         case command_name::drain:
             return run_drain(options, key, deadline);
+        case command_name::explain:
+            return run_explain(options);
         case command_name::sample_note:
             break;
     }
--- a/programs/greengagechutectl/options.cpp
+++ b/programs/greengagechutectl/options.cpp
@@ -37,7 +37,7 @@
     bool needs_key;
 };
 
-constexpr std::array<command_entry, 6> commands{{
+constexpr std::array<command_entry, 7> commands{{
     {"validate", command_name::validate, "NOTE [--json]", true, false, false},
     {"submit", command_name::submit,
      "NOTE --host IP:PORT [--host IP:PORT ...] --key-file FILE [--timeout S] [--json]", true, true,
@@ -51,6 +51,7 @@
     {"sample-note", command_name::sample_note,
      "--divided SERVICE:PREFIX:COUNT:PORT | --undivided SERVICE:PREFIX:COUNT:PORT ...", false,
      false, false},
+    {"explain", command_name::explain, "REQUEST-ID FILE...", false, false, false},
 }};
 
 struct popt_release {
@@ -65,7 +66,8 @@
         std::fprintf(stream, "  %s %s\n", entry.name.data(), entry.arguments);
     }
     std::fputs(
-        "\nNOTE is a file, or - for standard input. COMMAND --help explains the options.\n"
+        "\nNOTE is a file, or - for standard input. FILE is a log of a gateway. COMMAND --help "
+        "explains the options.\n"
         "Exit codes: 0 done, 1 refused, 2 usage, 3 unreachable, 4 outcome unknown or pending.\n",
         stream);
 }
@@ -226,7 +228,7 @@
         "time allowed for the whole command, in seconds (default: 30 for submit, otherwise 5)",
         "S"};
     std::vector<poptOption> table;
-    if (entry.command != command_name::sample_note) {
+    if (entry.command != command_name::sample_note && entry.command != command_name::explain) {
         table.push_back(json_option);
     }
     if (entry.needs_host) {
@@ -271,7 +273,17 @@
         return usage_error(std::string(poptBadOption(context.get(), POPT_BADOPTION_NOALIAS)) +
                            ": " + poptStrerror(option));
     }
-    if (const char* note = poptGetArg(context.get()); note != nullptr) {
+    if (entry.command == command_name::explain) {
+        if (const char* id = poptGetArg(context.get()); id != nullptr) {
+            parsed.request_id = id;
+        }
+        while (const char* file = poptGetArg(context.get())) {
+            parsed.log_files.emplace_back(file);
+        }
+        if (parsed.log_files.empty()) {
+            return usage_error("a request id and the log files of the hosts are needed");
+        }
+    } else if (const char* note = poptGetArg(context.get()); note != nullptr) {
         parsed.note_file = note;
     }
     if (poptPeekArg(context.get()) != nullptr) {
--- a/programs/greengagechutectl/options.h
+++ b/programs/greengagechutectl/options.h
@@ -10,7 +10,7 @@
 
 namespace greengagechute::ctl {
 
-enum class command_name { validate, submit, status, dump, drain, sample_note };
+enum class command_name { validate, submit, status, dump, drain, sample_note, explain };
 
 /// Servers of one service for `sample-note`: ids `<prefix>-1`, `<prefix>-2`, and so on, on
 /// consecutive ports of 127.0.0.1.
@@ -33,6 +33,9 @@
     std::uint64_t base_revision = 0;
     std::uint32_t partitions = 0;
     std::uint32_t slots = 0;
+    /// Of `explain`.
+    std::string request_id;
+    std::vector<std::string> log_files;
 };
 
 /// Reads the arguments, or prints help or an error and returns the exit code.
--- a/programs/greengagechutectl/tests/offline_test.sh
+++ b/programs/greengagechutectl/tests/offline_test.sh
@@ -30,9 +30,14 @@
 expect "overview" 0 "Exit codes" "$tool" --help
 expect "no command" 2 "Usage" "$tool"
 expect "unknown command" 2 "Usage" "$tool" restart
-for command in validate submit status dump drain sample-note; do
+for command in validate submit status dump drain sample-note explain; do
   expect "help of $command" 0 "--help" "$tool" "$command" --help
 done
+expect "explain without a file" 2 "log files of the hosts are needed" "$tool" explain id
+expect "explain with a missing file" 2 "cannot be read" "$tool" explain id "$directory/none"
+echo '{"time":"2026-01-02T03:04:05.000006Z","level":"info","host":"a","event":"request_accepted","request":"id"}' >"$directory/log"
+expect "explain" 0 "request_accepted" "$tool" explain id "$directory/log"
+expect "explain of an unknown request" 1 "no line" "$tool" explain other "$directory/log"
 expect "unknown option" 2 "unknown option" "$tool" status --force
 expect "status without a host" 2 "--host is needed" "$tool" status
 expect "host name instead of an address" 2 "numeric address" "$tool" status --host localhost:1
