Await a takeover under way, detect a silent coordinator sooner, route by grants

A host that had written its term answered 'not coordinating' while it read the owners, so that the others took over from it, and no lease was renewed.

Ruled out: a longer lease; it delays keys of a silent server.

Change: report answers say that a takeover is pending, and hosts wait up to 1.5 s for it. A takeover writes over the known term and then reads, two calls instead of five in a row. Without an answer to that write the owners are read only once the term is known to be written: read before, they could be those of before another coordinator's last change. A missed report is followed by one that is answered at once. Hosts get an owner once it has its grant and until its release is decided. While no table can be stored, ranges without an owner go back to the stored one. Coordinator tests run over a store in memory.

--- a/libs/gateway/include/gateway/coordinator.h
+++ b/libs/gateway/include/gateway/coordinator.h
@@ -31,9 +31,17 @@
     milliseconds report_kept{400};
     /// Pause between an answer and the next report.
     milliseconds report_pause{30};
-    milliseconds report_timeout{900};
+    milliseconds report_timeout{700};
+    /// After a missed report one is sent that is answered at once: a few round trips between
+    /// regions. Both times and the takeover lie within what is left of a renewed lease.
+    milliseconds probe_timeout{400};
     /// Pause after a report without an answer.
     milliseconds report_retry{250};
+    /// After a coordinator's resignation the others try to follow within this time.
+    milliseconds takeover_spread{60};
+    /// Hosts wait this long for a holder of the term that does not coordinate yet: three calls to
+    /// a store that is a hundred times as slow as usual.
+    milliseconds longest_takeover{1'500};
     /// The coordinator looks for due orders at this interval.
     milliseconds tick{50};
     milliseconds balance_every{500};
@@ -55,6 +63,8 @@
     std::map<service_id, std::uint64_t> owners;
     /// Term in which they were counted.
     std::uint64_t term = 0;
+    /// The answer is not kept until owners change.
+    bool at_once = false;
 };
 
 /// Owners that a host lacks.
@@ -69,6 +79,8 @@
 /// What the coordinator answers.
 struct report_answer {
     bool coordinating = false;
+    /// It has written its term, or tries to, and will coordinate once it has read the owners.
+    bool pending = false;
     /// The coordinator reaches the store.
     bool has_store = true;
     /// Hosts that report to it, itself included.
--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -66,14 +66,18 @@
 
 /// Leases of one divided service.
 struct kept_service {
+    explicit kept_service(ranges::lease_keeper first) : keeper(std::move(first)) {}
+
     ranges::lease_keeper keeper;
     ranges::key_load load;
     /// Smoothed logarithm of the service time of each server, in milliseconds.
     std::map<server_id, double> speeds;
     /// A table that is being stored.
     bool committing = false;
-    /// The stored table, and the changes that led to it, for the hosts.
-    ranges::range_table stored;
+    /// A table whose commit was not answered may be stored later, until another one is.
+    bool late_table_possible = false;
+    /// Where hosts send requests, and the changes that led to it.
+    ranges::range_table routes;
     std::uint64_t version = 0;
     std::deque<std::vector<ranges::range_owner>> history;
 };
@@ -109,6 +113,8 @@
     bool taking_over = false;
     bool resigned = false;
     int misses = 0;
+    /// Since when the holder of the term answers that it is about to coordinate.
+    std::optional<time_point> pending_since{};
     time_point leader_without_store_since{};
     bool leader_without_store = false;
     std::map<service_id, kept_service> kept{};
@@ -146,12 +152,15 @@
     void report();
     void schedule_report(milliseconds pause);
     void on_answer(const report_answer& answer);
+    void on_not_coordinating(bool pending, time_point now);
     report_answer make_answer(const host_report& report, time_point now) const;
     void answer_waiting(bool all, time_point now);
-    void set_stored(const service_id& service, ranges::range_table table);
+    void publish_routes(const service_id& service, time_point now);
     void leader_lost(std::string_view reason);
     void take_over();
+    void read_and_take_over();
     void confirm_takeover(const term_content& mine);
+    void end_takeover();
     void lead(std::uint64_t number);
     void step_down(std::string_view reason);
     void tick();
@@ -227,35 +236,50 @@
         this->step_down("another host holds the term");
     }
     if (!this->leading && !this->taking_over && read->host.empty() && !this->resigned) {
-        this->leader_lost("resigned");
+        // Spread: the first host's term reaches most others before they try.
+        const double spread = std::uniform_real_distribution<double>(0, 1)(this->random);
+        const auto delay = static_cast<double>(this->settings.takeover_spread.count()) * spread;
+        this->loop.call_after(milliseconds(static_cast<std::int64_t>(delay)),
+                              [this, number = read->number] {
+                                  if (this->term && this->term->number == number) {
+                                      this->leader_lost("resigned");
+                                  }
+                              });
     }
 }
 
 /// Reads both tables.
 /// @param done  called with true if both were read
 void coordinator::state::read_rows(const std::function<void(bool)>& done) {
-    this->store.read(std::string(owners_table), [this,
-                                                 done](const result<table_content>& owner_rows) {
-        if (!owner_rows) {
-            done(false);
-            return;
-        }
-        for (const stored_row& row : owner_rows->rows) {
-            this->remember(owners_table, row);
+    struct progress {
+        int left = 2;
+        bool whole = true;
+    };
+    const auto both = std::make_shared<progress>();
+    const auto finish = [both, done](bool read) {
+        both->whole = both->whole && read;
+        if (--both->left == 0) {
+            done(both->whole);
         }
-        // The term is read last: owners of a later term fail the next commit.
-        this->store.read(std::string(term_table), [this, done](const result<table_content>& terms) {
-            if (!terms) {
-                done(false);
-                return;
-            }
+    };
+    this->store.read(std::string(owners_table),
+                     [this, finish](const result<table_content>& owner_rows) {
+                         if (owner_rows) {
+                             for (const stored_row& row : owner_rows->rows) {
+                                 this->remember(owners_table, row);
+                             }
+                         }
+                         finish(owner_rows.has_value());
+                     });
+    this->store.read(std::string(term_table), [this, finish](const result<table_content>& terms) {
+        if (terms) {
             for (const stored_row& row : terms->rows) {
                 if (row.key == term_row) {
                     this->on_term_row(row);
                 }
             }
-            done(true);
-        });
+        }
+        finish(terms.has_value());
     });
 }
 
@@ -280,6 +304,7 @@
     host_report content = this->own_report();
     content.host = this->settings.host;
     content.term = this->known_term;
+    content.at_once = this->misses > 0;
     content.owners = this->known_versions;
     wire::request message;
     message.method = "POST";
@@ -287,14 +312,16 @@
     message.headers.push_back({"Host", this->term->address->ip});
     message.body = encode(content);
     wire::call_options options;
-    options.timeout = this->settings.report_timeout;
-    options.connect_timeout = this->settings.report_timeout;
+    options.timeout =
+        content.at_once ? this->settings.probe_timeout : this->settings.report_timeout;
+    options.connect_timeout = options.timeout;
     this->peers.send(*this->term->address, message, options,
                      [this, number = this->term->number](const wire::call_result& outcome) {
                          report_answer answer;
                          const bool answered = !outcome.error && outcome.message.code == ok &&
                                                decode(outcome.message.body, answer);
-                         this->schedule_report(answered && answer.coordinating
+                         const bool first_miss = !answered && this->misses == 0;
+                         this->schedule_report((answered && answer.coordinating) || first_miss
                                                    ? this->settings.report_pause
                                                    : this->settings.report_retry);
                          if (this->leading || !this->term || this->term->number != number) {
@@ -310,13 +337,26 @@
                          }
                          this->misses = 0;
                          if (!answer.coordinating) {
-                             this->leader_lost("not coordinating");
+                             this->on_not_coordinating(answer.pending, wire::event_loop::now());
                              return;
                          }
+                         this->pending_since.reset();
                          this->on_answer(answer);
                      });
 }
 
+/// The holder of the term does not coordinate, or not yet.
+void coordinator::state::on_not_coordinating(bool pending, time_point now) {
+    if (pending && !this->pending_since) {
+        this->pending_since = now;
+    }
+    if (pending && now - *this->pending_since < this->settings.longest_takeover) {
+        return;
+    }
+    this->pending_since.reset();
+    this->leader_lost("not coordinating");
+}
+
 void coordinator::state::on_answer(const report_answer& answer) {
     this->set_hosts(answer.hosts);
     const time_point now = wire::event_loop::now();
@@ -364,46 +404,72 @@
     this->take_over();
 }
 
-void coordinator::state::take_over() {
+/// Reads the term first, where what is known of it may be old.
+void coordinator::state::read_and_take_over() {
     this->taking_over = true;
     const std::uint64_t seen = this->term ? this->term->number : 0;
     this->read_rows([this, seen](bool done) {
         if (!done || (this->term && this->term->number > seen && !this->term->host.empty())) {
             // Without the store nobody takes over; or another host was faster.
-            this->taking_over = false;
+            this->end_takeover();
             return;
         }
-        term_content mine;
-        mine.number = (this->term ? this->term->number : 0) + 1;
-        mine.host = this->identity;
-        mine.address = this->settings.address;
-        stored_row row;
-        row.table = std::string(term_table);
-        row.key = std::string(term_row);
-        row.version = this->version_of(term_table, row.key);
-        const std::vector<stored_row> expected{row};
-        row.value = encode(mine);
-        this->store.commit(expected, {row}, [this, mine](commit_outcome outcome) {
-            if (outcome == commit_outcome::rejected) {
-                this->taking_over = false;
-            } else {
-                this->confirm_takeover(mine);
-            }
-        });
+        this->take_over();
     });
 }
 
-/// Reads back whether this host holds the term, and who owns what.
+/// Writes a term of this host over the one that it knows: if that is an old one, nothing is
+/// written.
+void coordinator::state::take_over() {
+    this->taking_over = true;
+    term_content mine;
+    mine.number = (this->term ? this->term->number : 0) + 1;
+    mine.host = this->identity;
+    mine.address = this->settings.address;
+    stored_row row;
+    row.table = std::string(term_table);
+    row.key = std::string(term_row);
+    row.version = this->version_of(term_table, row.key);
+    const std::vector<stored_row> expected{row};
+    row.value = encode(mine);
+    this->store.commit(expected, {row}, [this, mine](commit_outcome outcome) {
+        if (outcome == commit_outcome::rejected) {
+            this->end_takeover();
+        } else if (outcome == commit_outcome::unknown) {
+            // The term may be written between two reads. Only what is read after that is final.
+            this->read_rows([this, mine](bool done) {
+                if (done && this->term && this->term->host == this->identity) {
+                    this->confirm_takeover(mine);
+                } else {
+                    this->end_takeover();
+                }
+            });
+        } else {
+            this->confirm_takeover(mine);
+        }
+    });
+}
+
+/// Reads back whether this host holds the term, and who owns what: nobody else changes owners once
+/// the term is written.
 void coordinator::state::confirm_takeover(const term_content& mine) {
     this->read_rows([this, mine](bool done) {
-        this->taking_over = false;
         if (done && this->term && this->term->host == this->identity &&
             this->term->number == mine.number && !this->resigned) {
+            this->taking_over = false;
             this->lead(mine.number);
+        } else {
+            this->end_takeover();
         }
     });
 }
 
+/// This host does not coordinate after all.
+void coordinator::state::end_takeover() {
+    this->taking_over = false;
+    this->answer_waiting(true, wire::event_loop::now());
+}
+
 void coordinator::state::lead(std::uint64_t number) {
     if (this->leading) {
         return;
@@ -540,18 +606,11 @@
         const epoch first((this->term->number << term_shift) + 1);
         found =
             this->kept
-                .emplace(service, kept_service{ranges::lease_keeper(this->settings.keeper, first),
-                                               {},
-                                               {},
-                                               false,
-                                               {},
-                                               0,
-                                               {}})
+                .emplace(service, kept_service(ranges::lease_keeper(this->settings.keeper, first)))
                 .first;
         if (const stored_row* row = this->owners_row(service)) {
             if (auto stored = ranges::decode(row->value)) {
                 found->second.keeper.adopt(*stored, now);
-                this->set_stored(service, std::move(*stored));
             } else {
                 telemetry::log_error(this->log, "owners_row_malformed",
                                      {{"service", service.value()}, {"error", stored.error()}});
@@ -589,6 +648,7 @@
             this->commit(service, *table);
         }
     }
+    this->publish_routes(service, now);
 }
 
 void coordinator::state::send(const service_id& service, const ranges::order& what) {
@@ -627,11 +687,13 @@
                      {"fence", what.fence.value()},
                      {"outcome", static_cast<int>(outcome)}});
             }
-            own->second.keeper.record(what.lease, outcome, handover, wire::event_loop::now());
+            const time_point now = wire::event_loop::now();
+            own->second.keeper.record(what.lease, outcome, handover, now);
+            this->publish_routes(service, now);
             if (own->second.keeper.outranked()) {
                 this->step_down("a server has seen a higher fence");
                 this->rows.erase({std::string(term_table), std::string(term_row)});
-                this->take_over();
+                this->read_and_take_over();
             }
         });
 }
@@ -657,13 +719,20 @@
             return;
         }
         this->store_ok = outcome == commit_outcome::stored || outcome == commit_outcome::conflict;
+        if (outcome == commit_outcome::stored || outcome == commit_outcome::unknown) {
+            this->kept.at(service).late_table_possible = outcome == commit_outcome::unknown;
+        }
         if (outcome == commit_outcome::rejected) {
             // Nothing was written; the plan is made anew.
             this->loop.call_after(commit_retry, [this, service] {
                 const auto kept_now = this->kept.find(service);
                 if (kept_now != this->kept.end()) {
+                    const time_point now = wire::event_loop::now();
                     kept_now->second.committing = false;
-                    kept_now->second.keeper.committed(false, wire::event_loop::now());
+                    kept_now->second.keeper.committed(false, now);
+                    if (!kept_now->second.late_table_possible) {
+                        kept_now->second.keeper.restore_owners(now);
+                    }
                 }
             });
             return;
@@ -691,32 +760,34 @@
         kept_service& own = this->kept.at(service);
         own.committing = false;
         own.keeper.committed(stored, now);
-        if (stored) {
-            if (auto table = ranges::decode(value)) {
-                this->set_stored(service, std::move(*table));
-                this->answer_waiting(false, now);
-            }
-        }
+        this->publish_routes(service, now);
     });
 }
 
-/// Takes over the stored table, for this host and for the others.
-void coordinator::state::set_stored(const service_id& service, ranges::range_table table) {
+/// Gives this host and the others the owners to which requests may be sent, if they changed.
+void coordinator::state::publish_routes(const service_id& service, time_point now) {
     kept_service& own = this->kept.at(service);
-    own.history.push_back(own.stored.ranges.empty() ? table.ranges
-                                                    : ranges::changes_between(own.stored, table));
+    ranges::range_table table = own.keeper.routes();
+    std::vector<ranges::range_owner> changes =
+        own.routes.ranges.empty() ? table.ranges : ranges::changes_between(own.routes, table);
+    if (changes.empty()) {
+        return;
+    }
+    own.history.push_back(std::move(changes));
     if (own.history.size() > history_length) {
         own.history.pop_front();
     }
     ++own.version;
-    own.stored = std::move(table);
-    this->known_owners[service] = own.stored;
-    this->owners(service, own.stored);
+    own.routes = std::move(table);
+    this->known_owners[service] = own.routes;
+    this->owners(service, own.routes);
+    this->answer_waiting(false, now);
 }
 
 report_answer coordinator::state::make_answer(const host_report& report, time_point now) const {
     report_answer answer;
     answer.coordinating = this->leading;
+    answer.pending = this->taking_over && !this->leading;
     answer.has_store = this->store_ok && this->store_reachable;
     answer.hosts = 1 + static_cast<int>(std::count_if(
                            this->reports.begin(), this->reports.end(),
@@ -737,7 +808,7 @@
         const std::uint64_t missing = own.version - std::min(version, own.version);
         if (version == 0 || version > own.version || missing > own.history.size()) {
             update.whole = true;
-            update.ranges = own.stored.ranges;
+            update.ranges = own.routes.ranges;
             continue;
         }
         std::vector<ranges::key_range> touched;
@@ -748,7 +819,7 @@
             }
         }
         // Later changes replace earlier ones: what counts is the table as it is now.
-        for (const ranges::range_owner& entry : own.stored.ranges) {
+        for (const ranges::range_owner& entry : own.routes.ranges) {
             const bool overlaps = std::any_of(
                 touched.begin(), touched.end(), [&entry](const ranges::key_range& keys) {
                     return keys.first <= entry.keys.last && entry.keys.first <= keys.last;
@@ -767,7 +838,8 @@
     std::vector<std::pair<answer_handler, report_answer>> answers;
     for (kept_report& one : this->waiting) {
         report_answer answer = this->make_answer(one.report, now);
-        if (all || now >= one.until || !answer.owners.empty() || !answer.coordinating) {
+        if (all || now >= one.until || !answer.owners.empty() ||
+            (!answer.coordinating && !answer.pending)) {
             answers.emplace_back(std::move(one.answer), std::move(answer));
         } else {
             kept_on.push_back(std::move(one));
@@ -796,10 +868,11 @@
         own.reports[report.host] = now;
         own.learn(report, now);
     }
-    own.waiting.push_back({report, std::move(answer), now + own.settings.report_kept});
+    own.waiting.push_back({report, std::move(answer),
+                           now + (report.at_once ? milliseconds{0} : own.settings.report_kept)});
     own.waiting.back().report.keys.clear();
     own.waiting.back().report.speeds.clear();
-    own.answer_waiting(!own.leading, now);
+    own.answer_waiting(!own.leading && !own.taking_over, now);
 }
 
 void coordinator::resign() {
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -497,7 +497,7 @@
     if (owner == nullptr) {
         return {nullptr, "no_owner"};
     }
-    if (now < own.moving[position_of(own.owners, one.key)]) {
+    if (owner->id.value().empty() || now < own.moving[position_of(own.owners, one.key)]) {
         return {nullptr, "range_moving"};
     }
     const auto found = own.servers.find(owner->id);
--- a/libs/gateway/src/reports.cpp
+++ b/libs/gateway/src/reports.cpp
@@ -16,6 +16,9 @@
     nlohmann::json text;
     text["host"] = report.host.value();
     text["term"] = report.term;
+    if (report.at_once) {
+        text["at_once"] = true;
+    }
     for (const auto& [service, version] : report.owners) {
         text["owners"][service.value()] = version;
     }
@@ -58,6 +61,8 @@
     report.term = parsed.contains("term") && parsed["term"].is_number_unsigned()
                       ? parsed["term"].get<std::uint64_t>()
                       : 0;
+    report.at_once = parsed.contains("at_once") && parsed["at_once"].is_boolean() &&
+                     parsed["at_once"].get<bool>();
     if (parsed.contains("owners") && parsed["owners"].is_object()) {
         for (const auto& [service, version] : parsed["owners"].items()) {
             if (!version.is_number_unsigned()) {
@@ -101,6 +106,7 @@
 std::string encode(const report_answer& answer) {
     nlohmann::json text;
     text["coordinating"] = answer.coordinating;
+    text["pending"] = answer.pending;
     text["has_store"] = answer.has_store;
     text["hosts"] = answer.hosts;
     text["term"] = answer.term;
@@ -159,6 +165,8 @@
         return false;
     }
     answer.coordinating = parsed["coordinating"].get<bool>();
+    answer.pending = parsed.contains("pending") && parsed["pending"].is_boolean() &&
+                     parsed["pending"].get<bool>();
     answer.has_store = parsed["has_store"].get<bool>();
     answer.hosts = parsed["hosts"].get<int>();
     answer.term = parsed.contains("term") && parsed["term"].is_number_unsigned()
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -4,6 +4,7 @@
 #include "gateway/coordinator.h"
 #include "gateway/directory.h"
 #include "gateway/front.h"
+#include "gateway/table_watch.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -227,6 +228,237 @@
     return result;
 }
 
+/// Tables in memory whose calls take a time, and may be refused or lose their answers.
+class memory_store : public gateway::table_store {
+public:
+    explicit memory_store(wire::event_loop& own_loop) : loop(own_loop) {}
+
+    void read(const std::string& table, content_handler done) override {
+        this->after([this, table, done = std::move(done)] { done(this->changes(table, 0)); });
+    }
+
+    void watch(const std::string& table, std::uint64_t after_version, gg::milliseconds,
+               content_handler done) override {
+        this->after([this, table, after_version, done = std::move(done)] {
+            auto content = this->changes(table, after_version);
+            if (content.rows.empty()) {
+                this->watch(table, after_version, {}, done);
+            } else {
+                done(std::move(content));
+            }
+        });
+    }
+
+    void commit(const std::vector<gateway::stored_row>& expected,
+                const std::vector<gateway::stored_row>& rows, commit_handler done) override {
+        ++this->commits;
+        this->after([this, expected, rows, done = std::move(done)] {
+            for (const gateway::stored_row& row : expected) {
+                if (this->stored[{row.table, row.key}].version != row.version) {
+                    done(gateway::commit_outcome::conflict);
+                    return;
+                }
+            }
+            ++this->version;
+            for (gateway::stored_row row : rows) {
+                row.version = this->version;
+                this->stored[{row.table, row.key}] = row;
+            }
+            done(this->lose_answers ? gateway::commit_outcome::unknown
+                                    : gateway::commit_outcome::stored);
+        });
+    }
+
+    gg::milliseconds delay{1};
+    bool lose_answers = false;
+    int commits = 0;
+
+private:
+    /// Half of the time passes before the call is carried out.
+    void after(std::function<void()> action) {
+        this->loop.call_after(this->delay / 2, [this, action = std::move(action)] {
+            this->loop.call_after(this->delay - this->delay / 2, action);
+        });
+    }
+
+    gateway::table_content changes(const std::string& table, std::uint64_t after_version) const {
+        gateway::table_content content;
+        for (const auto& [name, row] : this->stored) {
+            if (name.first == table && row.version > after_version) {
+                content.rows.push_back(row);
+            }
+        }
+        content.version = this->version;
+        return content;
+    }
+
+    wire::event_loop& loop;
+    std::map<std::pair<std::string, std::string>, gateway::stored_row> stored;
+    std::uint64_t version = 0;
+};
+
+/// Answers each order at once.
+class obedient_servers : public gateway::server_orders {
+public:
+    explicit obedient_servers(wire::event_loop& own_loop) : loop(own_loop) {}
+
+    void send(const wire::endpoint&, const ranges::order& what, order_handler done) override {
+        this->highest_fence = std::max(this->highest_fence, what.fence);
+        this->loop.call_after(1ms,
+                              [done = std::move(done)] { done(ranges::order_outcome::done, ""); });
+    }
+
+    gg::epoch highest_fence;
+
+private:
+    wire::event_loop& loop;
+};
+
+/// The store and the servers as one host reaches them; nothing gets through once it is lost.
+class host_links : public gateway::table_store, public gateway::server_orders {
+public:
+    host_links(memory_store& shared, obedient_servers& servers) : store(shared), orders(servers) {}
+
+    void read(const std::string& table, content_handler done) override {
+        if (!this->lost) {
+            this->store.read(table, std::move(done));
+        }
+    }
+    void watch(const std::string& table, std::uint64_t after_version, gg::milliseconds wait,
+               content_handler done) override {
+        this->store.watch(table, after_version, wait,
+                          [this, done = std::move(done)](gg::result<gateway::table_content> found) {
+                              if (!this->lost) {
+                                  done(std::move(found));
+                              }
+                          });
+    }
+    void commit(const std::vector<gateway::stored_row>& expected,
+                const std::vector<gateway::stored_row>& rows, commit_handler done) override {
+        if (!this->lost) {
+            this->store.commit(expected, rows, std::move(done));
+        }
+    }
+    void send(const wire::endpoint& server, const ranges::order& what,
+              order_handler done) override {
+        if (!this->lost) {
+            this->orders.send(server, what, std::move(done));
+        }
+    }
+
+    bool lost = false;
+
+private:
+    memory_store& store;
+    obedient_servers& orders;
+};
+
+/// The coordinator part of one host, reachable by the others.
+struct coordinating_host {
+    coordinating_host(wire::event_loop& loop, memory_store& store, obedient_servers& orders,
+                      gg::telemetry::logger& log, const gateway::directory& servers, int number)
+        : links(store, orders),
+          peers(loop, {}),
+          server(loop, [this](const std::shared_ptr<wire::incoming>& asked) {
+              if (this->links.lost) {
+                  return;
+              }
+              gateway::host_report report;
+              BOOST_REQUIRE(decode(asked->message().body, report));
+              this->part->on_report(
+                  report,
+                  [asked](const gateway::report_answer& answer) {
+                      wire::response reply;
+                      reply.code = 200;
+                      reply.body = encode(answer);
+                      asked->answer(std::move(reply));
+                  },
+                  wire::event_loop::now());
+          }) {
+        BOOST_REQUIRE(!this->server.open({"127.0.0.1", 0}));
+        gateway::coordinator_settings settings;
+        settings.host = gg::host_id("host-" + std::to_string(number));
+        settings.address = {"127.0.0.1", this->server.port()};
+        this->part = std::make_unique<gateway::coordinator>(
+            loop, this->peers, this->links, this->links, servers, log, settings,
+            [this](const gg::service_id&, ranges::range_table table) {
+                this->owners = std::move(table);
+            },
+            [] { return gateway::host_report{}; }, [](int) {}, static_cast<std::uint64_t>(number));
+        auto content = std::make_shared<gateway::catalogue>();
+        content->version = 1;
+        content->services[gg::service_id("keys")] = {gg::service_id("keys"), true, 10};
+        this->part->set_catalogue(content);
+        this->term = std::make_unique<gateway::table_watch>(
+            loop, this->links, log, std::string(gateway::term_table), 0ms,
+            [this](const gateway::table_update& update) {
+                this->part->on_term(update.content, update.whole);
+            });
+        this->term->start();
+        this->part->start();
+    }
+
+    host_links links;
+    wire::client peers;
+    wire::server server;
+    std::unique_ptr<gateway::coordinator> part;
+    std::unique_ptr<gateway::table_watch> term;
+    ranges::range_table owners;
+};
+
+/// Several hosts over one store, and two servers with keys.
+struct coordination_fixture {
+    wire::event_loop loop;
+    std::shared_ptr<gg::telemetry::logger> log;
+    memory_store store{loop};
+    obedient_servers orders{loop};
+    gateway::directory servers{gateway::directory_settings{}};
+    std::vector<std::unique_ptr<coordinating_host>> hosts;
+
+    coordination_fixture() {
+        gg::telemetry::logger_options options;
+        options.minimum = gg::telemetry::level::error;
+        this->log = *gg::telemetry::logger::create(options);
+        std::vector<gateway::server_entry> entries;
+        for (const char* id : {"a", "b"}) {
+            gateway::server_entry entry;
+            entry.life = {gg::server_id(id), 1};
+            entry.service = gg::service_id("keys");
+            entry.address = {"127.0.0.1", static_cast<std::uint16_t>(1 + entries.size())};
+            entries.push_back(entry);
+        }
+        this->servers.replace(entries, false, wire::event_loop::now());
+    }
+
+    void add_hosts(int count) {
+        for (int number = 0; number < count; ++number) {
+            this->hosts.push_back(std::make_unique<coordinating_host>(
+                this->loop, this->store, this->orders, *this->log, this->servers, number));
+        }
+    }
+
+    void run_for(gg::milliseconds time) {
+        this->loop.call_after(time, [this] { this->loop.stop(); });
+        this->loop.run();
+    }
+
+    std::uint64_t term() const {
+        // A fence is the term number and a counter of 24 bits.
+        return this->orders.highest_fence.value() >> 24U;
+    }
+
+    /// Position of the only coordinating host; -1 if there is none or more than one.
+    int coordinating() const {
+        int found = -1;
+        for (std::size_t index = 0; index < this->hosts.size(); ++index) {
+            if (!this->hosts[index]->links.lost && this->hosts[index]->part->coordinating()) {
+                found = found < 0 ? static_cast<int>(index) : static_cast<int>(this->hosts.size());
+            }
+        }
+        return found < static_cast<int>(this->hosts.size()) ? found : -1;
+    }
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(longest_prefix_selects_the_route) {
@@ -511,3 +743,45 @@
     BOOST_TEST(own.ask("POST", "/unsafe/x", "300").message.code == 504);
     BOOST_CHECK(wire::event_loop::now() - before < 600ms);
 }
+
+// Guards against hosts that take over from one that is still reading the owners: on a slow store
+// they would replace each other for seconds, and no lease would be renewed.
+BOOST_AUTO_TEST_CASE(takeover_on_a_slow_store_is_awaited) {
+    coordination_fixture own;
+    own.store.delay = 240ms;
+    own.add_hosts(4);
+    own.run_for(2'500ms);
+    BOOST_REQUIRE(own.coordinating() >= 0);
+    BOOST_TEST(own.term() == 1U);
+    own.hosts[static_cast<std::size_t>(own.coordinating())]->part->resign();
+    own.run_for(2'500ms);
+    BOOST_TEST(own.coordinating() >= 0);
+    BOOST_TEST(own.term() == 2U);
+    for (const auto& host : own.hosts) {
+        BOOST_TEST(!host->owners.ranges.empty());
+    }
+}
+
+// Guards against keys that nobody renews after the loss of the coordinator, and against a loss that
+// costs more than a lease.
+BOOST_AUTO_TEST_CASE(lost_coordinator_is_replaced_within_a_lease) {
+    coordination_fixture own;
+    own.add_hosts(3);
+    own.run_for(1'500ms);
+    const int lost = own.coordinating();
+    BOOST_REQUIRE(lost >= 0);
+    own.hosts[static_cast<std::size_t>(lost)]->links.lost = true;
+    own.run_for(gg::milliseconds(ranges::keeper_settings{}.hold));
+    BOOST_TEST(own.coordinating() >= 0);
+    BOOST_TEST(own.term() == 2U);
+}
+
+// Guards against a term that was written without an answer and coordinates nothing.
+BOOST_AUTO_TEST_CASE(term_without_an_answer_is_confirmed) {
+    coordination_fixture own;
+    own.store.lose_answers = true;
+    own.add_hosts(3);
+    own.run_for(2'500ms);
+    BOOST_TEST(own.coordinating() >= 0);
+    BOOST_TEST(own.term() == 1U);
+}
--- a/libs/ranges/include/ranges/lease_keeper.h
+++ b/libs/ranges/include/ranges/lease_keeper.h
@@ -31,6 +31,9 @@
     double overload = 1.25;
     /// Ranges that move for balance at the same time.
     std::size_t balance_moves = 4;
+    /// From the decision to move keys to the release: the hosts stop sending to the owner within a
+    /// one-way delay between regions, and what they sent before arrives within another one.
+    milliseconds release_notice{40};
     /// Requests a second below which load is not balanced.
     double balance_from = 20.0;
 };
@@ -96,6 +99,10 @@
     std::optional<range_table> plan(const key_load& load, time_point now);
     /// @param stored  false if the table was not stored, and never will be
     void committed(bool stored, time_point now);
+    /// Gives ranges without an owner back to the owner that the stored table names, if that one
+    /// may have keys: for the time in which no table can be stored. Only valid if no table that
+    /// was given to the store may be stored later.
+    void restore_owners(time_point now);
     /// Chooses ranges to move for balance.
     void balance(const key_load& load, time_point now);
 
@@ -104,6 +111,9 @@
     /// Ranges without a confirmed owner.
     std::size_t unowned() const;
     range_table table() const;
+    /// Where requests may be sent: `table` without the owners that have no grant yet or lose the
+    /// keys; their place is taken by a life without an id.
+    range_table routes() const;
 
 private:
     enum class phase { held, releasing, expiring, free };
@@ -118,6 +128,8 @@
         std::string handover;
         /// The owner has confirmed a grant of this coordinator.
         bool confirmed = false;
+        /// Requests may be sent to the owner: it has a grant, of this or an earlier coordinator.
+        bool routable = false;
         bool in_flight = false;
         /// What the order under way asks for; the state may have changed since it was sent.
         order::kind flight = order::kind::grant;
--- a/libs/ranges/src/lease_keeper.cpp
+++ b/libs/ranges/src/lease_keeper.cpp
@@ -43,6 +43,7 @@
         adopted.owner = entry.owner;
         adopted.fence = this->next_fence;
         adopted.next_send = now;
+        adopted.routable = true;
         adopted.ends = now + this->longest_hold();
         this->leases.push_back(std::move(adopted));
     }
@@ -96,7 +97,7 @@
         const candidate* owner = this->find_candidate(one.owner);
         if (one.state == phase::held && (owner == nullptr || !owner->accepts)) {
             one.state = phase::releasing;
-            one.next_send = now;
+            one.next_send = now + this->settings.release_notice;
         }
     }
 }
@@ -198,6 +199,7 @@
     one.connect_failures = 0;
     if (one.flight == order::kind::grant) {
         one.confirmed = true;
+        one.routable = true;
         if (one.state == phase::held) {
             one.handover.clear();
         }
@@ -384,6 +386,27 @@
     this->merge_neighbours(now);
 }
 
+void lease_keeper::restore_owners(time_point now) {
+    if (this->pending) {
+        return;
+    }
+    for (lease& one : this->leases) {
+        const candidate* const owner = this->find_candidate(one.owner);
+        if (one.state != phase::free || owner == nullptr || !owner->accepts) {
+            continue;
+        }
+        one.state = phase::held;
+        one.confirmed = false;
+        one.routable = false;
+        one.destination.reset();
+        one.failures = 0;
+        one.connect_failures = 0;
+        one.fence = this->next_fence;
+        one.next_send = now;
+    }
+    this->next_fence = this->next_fence.next();
+}
+
 void lease_keeper::merge_neighbours(time_point now) {
     std::vector<lease> merged;
     for (lease& one : this->leases) {
@@ -488,7 +511,7 @@
         if (moved != nullptr) {
             moved->destination = coldest->life;
             moved->state = phase::releasing;
-            moved->next_send = now;
+            moved->next_send = now + this->settings.release_notice;
             return true;
         }
     }
@@ -553,7 +576,7 @@
     }
     source->destination = best->life;
     source->state = phase::releasing;
-    source->next_send = now;
+    source->next_send = now + this->settings.release_notice;
     return true;
 }
 
@@ -563,6 +586,20 @@
                       [](const lease& one) { return one.state != phase::held || !one.confirmed; }));
 }
 
+range_table lease_keeper::routes() const {
+    range_table current;
+    for (const lease& one : this->leases) {
+        const bool usable = one.state == phase::held && one.routable;
+        const server_life owner = usable ? one.owner : server_life{};
+        if (!current.ranges.empty() && current.ranges.back().owner == owner) {
+            current.ranges.back().keys.last = one.keys.last;
+        } else {
+            current.ranges.push_back({one.keys, owner});
+        }
+    }
+    return current;
+}
+
 range_table lease_keeper::table() const {
     range_table current;
     for (const lease& one : this->leases) {
--- a/libs/ranges/tests/ranges_test.cpp
+++ b/libs/ranges/tests/ranges_test.cpp
@@ -140,6 +140,7 @@
         own.keeper.record(what.lease, ranges::order_outcome::done, "", own.now);
     }
     BOOST_TEST(!own.commit());
+    own.now += own.settings.release_notice;
     const auto release = own.keeper.due(own.now);
     BOOST_REQUIRE(release.size() == 1U);
     BOOST_CHECK(release[0].what == ranges::order::kind::release);
@@ -152,6 +153,56 @@
     BOOST_CHECK(grants[0].fence > release[0].fence);
 }
 
+// Guards against requests that are sent to a server which has lost their key already, or has no
+// grant yet: each costs a round trip and a part of the retry budget.
+BOOST_AUTO_TEST_CASE(requests_are_routed_to_owners_with_a_grant) {
+    fixture own(servers({"a", "b"}));
+    const auto target_of = [&own](ranges::key_position key) {
+        return ranges::owner_of(own.keeper.routes(), key)->id.value();
+    };
+    BOOST_TEST(target_of(0) == "a");
+    BOOST_TEST(target_of(65'535) == "b");
+    auto draining = servers({"a", "b"});
+    draining[0].accepts = false;
+    own.keeper.set_candidates(draining, own.now);
+    BOOST_TEST(target_of(0) == "");
+    BOOST_TEST(own.keeper.due(own.now).empty());
+    own.now += own.settings.release_notice;
+    own.answer_all(ranges::order_outcome::done);
+    BOOST_REQUIRE(own.commit());
+    BOOST_TEST(target_of(0) == "");
+    own.answer_all(ranges::order_outcome::done);
+    BOOST_TEST(target_of(0) == "b");
+}
+
+// Guards against keys that stay without an owner for the whole outage of the store, because they
+// were to move when it began.
+BOOST_AUTO_TEST_CASE(moving_keys_go_back_while_no_table_can_be_stored) {
+    fixture own(servers({"a", "b"}));
+    for (int count = 0; count < 600; ++count) {
+        own.load.add(static_cast<ranges::key_position>(count * 16 % 8'192));
+    }
+    own.keeper.balance(own.load, own.now);
+    own.now += own.settings.release_notice;
+    own.answer_all(ranges::order_outcome::done);
+    BOOST_REQUIRE(own.keeper.plan(own.load, own.now));
+    own.keeper.committed(false, own.now);
+    BOOST_TEST(ranges::owner_of(own.keeper.routes(), 0)->id.value() == "");
+    own.keeper.restore_owners(own.now);
+    const auto grants = own.answer_all(ranges::order_outcome::done);
+    BOOST_REQUIRE(!grants.empty());
+    BOOST_TEST(grants[0].server.id.value() == "a");
+    BOOST_TEST(grants[0].handover == "handover");
+    BOOST_TEST(ranges::owner_of(own.keeper.routes(), 0)->id.value() == "a");
+}
+
+// Guards against a new coordinator that sends nobody to the owners of the one before it.
+BOOST_AUTO_TEST_CASE(adopted_owners_are_routed_at_once) {
+    ranges::lease_keeper keeper({}, gg::epoch(100));
+    keeper.adopt({{{{}, life("a")}}}, start);
+    BOOST_TEST(ranges::owner_of(keeper.routes(), 7)->id.value() == "a");
+}
+
 // Guards against a busy server keeping its keys because renewals and moves fall on the same tick.
 BOOST_AUTO_TEST_CASE(keys_move_while_a_renewal_is_under_way) {
     fixture own(servers({"a", "b"}));
@@ -164,6 +215,7 @@
     for (const ranges::order& what : renewals) {
         own.keeper.record(what.lease, ranges::order_outcome::done, "", own.now);
     }
+    own.now += own.settings.release_notice;
     const auto orders = own.keeper.due(own.now);
     BOOST_TEST(std::any_of(orders.begin(), orders.end(), [](const ranges::order& what) {
         return what.what == ranges::order::kind::release;
@@ -421,7 +473,11 @@
                 }
             }
             if (keeper.plan(load, now)) {
-                keeper.committed(chance(85), now);
+                const bool stored = chance(85);
+                keeper.committed(stored, now);
+                if (!stored && chance(50)) {
+                    keeper.restore_owners(now);
+                }
             }
             for (auto first = held.begin(); first != held.end(); ++first) {
                 for (auto second = std::next(first); second != held.end(); ++second) {
