Send requests again that their owner sheds, within the platform's allowance

Nothing was tried again, although the platform allows retries of a fifth of the requests.

Ruled out: waiting until the owner has room; it sheds by chance, with slots free.

Change: a request that its owner states not to have run goes to it again, at once or, if its slots are in use, after 40 ms, up to three times and within the budget. The budget is 0.85 of the platform's ratio instead of a tenth; the tokens for moved keys are the hosts' share of the platform's slack, so that more hosts do not exceed it. Both come from the settings.

--- a/libs/admission/include/admission/retry_budget.h
+++ b/libs/admission/include/admission/retry_budget.h
@@ -21,6 +21,7 @@
     };
     /// Off is the baseline: each retry is allowed.
     bool enabled = true;
+    std::uint32_t per_thousand = retries_per_thousand_first_tries;
     time_point origin;
     std::array<bucket, retry_buckets + 1> buckets{};
 };
@@ -30,7 +31,7 @@
 void count_first_try(retry_budget& budget, time_point now);
 
 /// Takes one retry from the budget: true if, with it, the retries of the last second are at most
-/// 0.1 of its first tries.
+/// `per_thousand` of its first tries.
 bool try_retry(retry_budget& budget, time_point now);
 
 }  // namespace greengagechute::admission
--- a/libs/admission/src/retry_budget.cpp
+++ b/libs/admission/src/retry_budget.cpp
@@ -50,7 +50,7 @@
         first_tries += bucket.number >= 0 && age < window ? bucket.first_tries : 0;
         retries += bucket.number >= 0 && age <= window ? bucket.retries : 0;
     }
-    if (retries * thousand > first_tries * retries_per_thousand_first_tries) {
+    if (retries * thousand > first_tries * budget.per_thousand) {
         return false;
     }
     ++bucket_at(budget, now).retries;
--- a/libs/admission/tests/tables_test.cpp
+++ b/libs/admission/tests/tables_test.cpp
@@ -28,6 +28,20 @@
 
 BOOST_AUTO_TEST_SUITE(retry_budget)
 
+// Guards against a larger allowance that is not used, or exceeded.
+BOOST_AUTO_TEST_CASE(share_of_retries_is_set) {
+    admission::retry_budget budget = admission::make_retry_budget(true, start);
+    budget.per_thousand = 170;
+    for (int count = 0; count < 100; ++count) {
+        admission::count_first_try(budget, start);
+    }
+    int granted = 0;
+    while (granted < 100 && admission::try_retry(budget, start)) {
+        ++granted;
+    }
+    BOOST_TEST(granted == 17);
+}
+
 // Guards against retries that add load to a failing service.
 RC_BOOST_PROP(retries_stay_within_a_tenth_of_first_tries, ()) {
     admission::retry_budget budget = admission::make_retry_budget(true, start);
--- a/libs/gateway/include/gateway/balancer.h
+++ b/libs/gateway/include/gateway/balancer.h
@@ -80,6 +80,9 @@
 double placement_cost(const server_state& server, distance far, milliseconds target_latency,
                       const balancer_settings& settings, time_point now);
 
+/// Whether the server stated that all of its slots were in use.
+bool is_full(const server_state& server);
+
 /// Whether the server may get work now: registered, not leaving, not paused.
 bool is_available(const server_state& server, time_point now);
 
--- a/libs/gateway/include/gateway/front.h
+++ b/libs/gateway/include/gateway/front.h
@@ -40,8 +40,17 @@
     std::string key;
 };
 
+/// Requests that all hosts together may send to the servers of a service beyond the first of each.
+struct retry_allowance {
+    /// Part of the first ones, in any `window`, and a number besides.
+    double ratio = 0.2;
+    double slack = 62;
+    milliseconds window{10'000};
+};
+
 struct front_settings {
     balancer_settings balancer;
+    retry_allowance retries;
     data_centre_id data_centre;
     std::map<data_centre_id, region_id> regions;
     /// Time to establish a connection: several round trips between regions.
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -32,6 +32,7 @@
     milliseconds grace{6'000};
     /// Longest lease that a server accepts.
     milliseconds longest_lease{10'000};
+    retry_allowance retries;
 };
 
 /// How the platform's rows are read.
--- a/libs/gateway/src/balancer.cpp
+++ b/libs/gateway/src/balancer.cpp
@@ -70,6 +70,11 @@
     return expected_ms(server, far, settings, now) + crossing;
 }
 
+bool is_full(const server_state& server) {
+    return server.has_stated &&
+           server.stated.running + server.stated.waiting >= server.stated.slots;
+}
+
 bool is_available(const server_state& server, time_point now) {
     return !server.entry.draining && !server.ended && now >= server.paused_until;
 }
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -99,16 +99,26 @@
     return stated_load{numbers[0], numbers[1], numbers[2]};
 }
 
-/// Second tries after a refusal by an owner that has just lost a key. They count as retries, so
-/// their rate is a small part of the platform's allowance beyond the ratio, shared by the hosts.
+/// Part of the allowed retries that is used: hosts count first tries that do not arrive.
+constexpr double used_retry_ratio = 0.85;
+/// Part of the slack that the hosts use in a window, and may have saved for its beginning.
+constexpr double used_slack = 0.4;
+constexpr double per_thousand = 1'000;
+/// Refusals of one request by owners without room, or that shed load.
+constexpr int refused_tries = 3;
+/// Pause before a full owner is asked again: about the time in which a slot becomes free.
+constexpr milliseconds full_pause{40};
+
+/// Second tries after a refusal by an owner that has just lost a key: from the allowance beyond the
+/// ratio, shared by the hosts.
 struct move_tokens {
-    double left = most;
+    double left = 0;
     time_point filled;
 
-    static constexpr double most = 3.0;
-    static constexpr double per_second = 0.25;
-
-    bool take(time_point now) {
+    bool take(const retry_allowance& allowance, int hosts, time_point now) {
+        const double most = std::max(1.0, used_slack * allowance.slack / hosts);
+        const double per_second = used_slack * allowance.slack / hosts /
+                                  std::chrono::duration<double>(allowance.window).count();
         const double seconds = std::chrono::duration<double>(now - this->filled).count();
         this->left = std::min(most, this->left + seconds * per_second);
         this->filled = now;
@@ -157,6 +167,8 @@
     int sends = 0;
     int unreached = 0;
     int moved = 0;
+    /// Times that an owner stated not to have run it for lack of room.
+    int refusals = 0;
     /// A server may have run the request, so it must not be called "not run".
     bool may_have_run = false;
     /// Not tried again before this time.
@@ -223,6 +235,8 @@
         }
         service_state& made = this->services[id];
         made.retries = admission::make_retry_budget(true, now);
+        made.retries.per_thousand = static_cast<std::uint32_t>(this->settings.retries.ratio *
+                                                               used_retry_ratio * per_thousand);
         return made;
     }
 
@@ -255,6 +269,7 @@
     void on_response(const exchange_handle& one, wire::response message, time_point now);
     void on_not_run(const exchange_handle& one, int status, time_point now);
     void on_failure(const exchange_handle& one, const status& error, time_point now);
+    bool has_time(const exchange& one, time_point now);
     bool may_retry(const exchange& one, time_point now);
     void requeue(const exchange_handle& one, milliseconds pause, time_point now);
     void enqueue(const exchange_handle& one, service_state& own);
@@ -824,7 +839,8 @@
                 own.moving[position] = now + moved_pause;
             }
         }
-        const bool granted = own.tokens.take(now) || admission::try_retry(own.retries, now);
+        const bool granted = own.tokens.take(this->settings.retries, this->hosts, now) ||
+                             admission::try_retry(own.retries, now);
         if (one->moved > moved_tries || !granted) {
             this->refuse(one, gateway_errc::no_owner, now);
             return;
@@ -841,6 +857,17 @@
         found->second.failure_share += 0.05 * (1.0 - found->second.failure_share);
     }
     one->tried.insert(one->running_at);
+    if (one->divided && found != own.servers.end()) {
+        // Only the owner can run it; one that sheds load takes the next request as likely as later.
+        const bool full = is_full(found->second);
+        if (++one->refusals <= refused_tries && this->has_time(*one, now) &&
+            admission::try_retry(own.retries, now)) {
+            this->requeue(one, full ? full_pause : milliseconds{0}, now);
+        } else {
+            this->refuse(one, gateway_errc::overloaded, now);
+        }
+        return;
+    }
     if (one->divided || !this->may_retry(*one, now)) {
         this->refuse(one, gateway_errc::overloaded, now);
     } else {
@@ -848,13 +875,18 @@
     }
 }
 
+/// An attempt begun now may still be answered in time.
+bool front::state::has_time(const exchange& one, time_point now) {
+    const double left = std::chrono::duration<double, std::milli>(one.give_up - now).count();
+    return left > this->service_of(one.service, now).latency_ms * least_useful_share;
+}
+
 bool front::state::may_retry(const exchange& one, time_point now) {
     if (one.sends >= one.chosen->max_attempts) {
         return false;
     }
-    service_state& own = this->service_of(one.service, now);
-    const double left = std::chrono::duration<double, std::milli>(one.give_up - now).count();
-    return left > own.latency_ms * least_useful_share && admission::try_retry(own.retries, now);
+    return this->has_time(one, now) &&
+           admission::try_retry(this->service_of(one.service, now).retries, now);
 }
 
 /// The request was sent, and no acceptable answer came.
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -115,6 +115,7 @@
         front_settings made;
         made.data_centre = initial.data_centre;
         made.regions = initial.regions;
+        made.retries = initial.retries;
         return made;
     }
 
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -733,6 +733,42 @@
     BOOST_TEST(empty.requests < 60);
 }
 
+// Plays an owner that refuses every second request for lack of room, and guards against callers
+// that are refused although the allowance for retries would serve them, and against more retries
+// than it.
+BOOST_AUTO_TEST_CASE(requests_that_an_owner_sheds_are_sent_again) {
+    fixture own;
+    int arrivals = 0;
+    stand_in shedding(own.loop, [&arrivals](const auto& asked) {
+        const bool shed = ++arrivals % 2 == 0;
+        reply(asked, shed ? 503 : 200, "", !shed, shed);
+    });
+    own.add("s1", "keys", shedding.address());
+    own.own("s1");
+    wire::client callers(own.loop, {});
+    constexpr int asked = 200;
+    int served = 0;
+    for (int count = 0; count < asked; ++count) {
+        own.loop.call_after(gg::milliseconds(count * 10), [&own, &callers, &served] {
+            wire::request message;
+            message.method = "POST";
+            message.target = "/keys/x";
+            message.headers = {
+                {"Host", "h"}, {"Own-Id", "r1"}, {"Own-Deadline", "900"}, {"Own-Key", "5"}};
+            callers.send({"127.0.0.1", own.entry->port()}, message, {},
+                         [&served](const wire::call_result& outcome) {
+                             served += outcome.message.code == 200 ? 1 : 0;
+                         });
+        });
+    }
+    own.loop.call_after(3'000ms, [&own] { own.loop.stop(); });
+    own.loop.run();
+    const gateway::retry_allowance allowance;
+    BOOST_TEST(arrivals - asked <= allowance.ratio * asked);
+    BOOST_TEST(arrivals - asked >= allowance.ratio * asked / 2);
+    BOOST_TEST(served >= asked / 2 + (arrivals - asked) / 2 - 1);
+}
+
 // Guards against an answer later than the caller waits, without a final answer.
 BOOST_AUTO_TEST_CASE(silent_server_ends_at_the_deadline) {
     fixture own;
