Do not take a refused connection for the end of a server's process

With all orders logged, a release to a leaving server was not answered, the next connection was refused 38 ms later, and its keys were given on at once, while the server still worked on a request that it answered 350 ms later: a leaving server closes its listener first.

Ruled out: a stale owner read at the takeover (the coordinator had renewed the lease itself); restored owners (no commit was rejected in that time).

Change: a refused connection frees keys only if the server is registered, not leaving, the store has been reachable for 4 s, and a second connection is refused 100 ms later. Otherwise the lease runs out. That another server answers at the address stays a proof. The random schedules refuse connections of leaving servers that still hold their keys.

--- a/libs/gateway/include/gateway/coordinator.h
+++ b/libs/gateway/include/gateway/coordinator.h
@@ -46,6 +46,9 @@
     milliseconds tick{50};
     milliseconds balance_every{500};
     milliseconds order_timeout{600};
+    /// After an outage of the store, entries of servers are back within about two seconds, and a
+    /// server that leaves says so; until then a refused connection is no sign of a crash.
+    milliseconds steady_after{4'000};
     /// A coordinator without the store and without reports from others for this long stops
     /// renewing leases: another one may have taken its place.
     milliseconds isolation{2'000};
--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -126,6 +126,8 @@
     time_point last_tick{};
     time_point last_balance{};
     time_point store_reached{};
+    /// Last time at which the store was known to be away.
+    time_point store_lost{};
     /// The last commit was answered.
     bool store_ok = true;
     bool store_reachable = true;
@@ -524,6 +526,9 @@
         return;
     }
     this->last_tick = now;
+    if (!this->store_ok || !this->store_reachable) {
+        this->store_lost = now;
+    }
     this->answer_waiting(false, now);
     if (!this->is_isolated(now) && this->config && this->servers.loaded()) {
         for (const auto& [id, service] : this->config->services) {
@@ -635,8 +640,10 @@
     std::vector<ranges::candidate> candidates;
     for (const auto& [id, entry] : this->servers.servers()) {
         if (entry.service == service) {
-            candidates.push_back({entry.life, weight_of(own, entry),
-                                  !entry.draining && !this->ended.contains(entry.life)});
+            const bool stays = !entry.draining && !this->ended.contains(entry.life);
+            const bool steady = stays && !this->servers.is_awaited(id) &&
+                                now - this->store_lost > this->settings.steady_after;
+            candidates.push_back({entry.life, weight_of(own, entry), stays, steady});
         }
     }
     own.keeper.set_candidates(candidates, now);
--- a/libs/ranges/include/ranges/lease_keeper.h
+++ b/libs/ranges/include/ranges/lease_keeper.h
@@ -34,6 +34,8 @@
     /// From the decision to move keys to the release: the hosts stop sending to the owner within a
     /// one-way delay between regions, and what they sent before arrives within another one.
     milliseconds release_notice{40};
+    /// Connections of a steady server must be refused for this long before it is taken as ended.
+    milliseconds refusal_confirmed{100};
     /// Requests a second below which load is not balanced.
     double balance_from = 20.0;
 };
@@ -45,6 +47,9 @@
     double weight = 1;
     /// May be given keys.
     bool accepts = true;
+    /// Registered, not leaving, and the store has been reachable for long enough to know: refused
+    /// connections mean that its process has ended.
+    bool steady = true;
 };
 
 /// Identifies a lease within its keeper.
@@ -66,7 +71,10 @@
     done,
     /// The server has seen a higher fence.
     fenced_off,
-    /// Nothing listens at the address: that life of the server has ended.
+    /// Another server answers at the address: that life of the server has ended.
+    ended,
+    /// The connection was refused. No proof of an end: a leaving server closes its listener while
+    /// it finishes its work, and a server with too many connections resets new ones.
     refused,
     /// The order did not leave, for lack of a connection.
     not_sent,
@@ -137,6 +145,8 @@
         lease_id flight_of;
         int failures = 0;
         int connect_failures = 0;
+        /// First of the refusals since the last answer.
+        std::optional<time_point> refused_since;
         time_point next_send;
         /// No lease that the owner has, or may still get by an order under way, lasts longer.
         time_point ends;
@@ -152,6 +162,8 @@
     bool replaced(const server_life& life) const;
     void record_one(lease& one, order_outcome outcome, const std::string& handover, time_point now);
     void fail(lease& failed, time_point now);
+    static void free_at_once(lease& one, time_point now);
+    bool ended_by_refusals(lease& one, time_point now) const;
     void merge_neighbours(time_point now);
     std::map<server_life, double> loads(const key_load& load) const;
     const candidate* least_loaded(const std::map<server_life, double>& sums, double added) const;
--- a/libs/ranges/src/lease_keeper.cpp
+++ b/libs/ranges/src/lease_keeper.cpp
@@ -72,9 +72,7 @@
 void lease_keeper::set_ended(const server_life& life, time_point now) {
     for (lease& one : this->leases) {
         if (one.owner == life) {
-            one.state = phase::free;
-            one.ends = now;
-            one.handover.clear();
+            free_at_once(one, now);
             one.destination.reset();
         }
     }
@@ -89,9 +87,7 @@
     for (lease& one : this->leases) {
         if (this->replaced(one.owner) && one.state != phase::free) {
             // The owner's process has ended, and its next life holds nothing.
-            one.state = phase::free;
-            one.ends = now;
-            one.handover.clear();
+            free_at_once(one, now);
             continue;
         }
         const candidate* owner = this->find_candidate(one.owner);
@@ -144,6 +140,21 @@
     }
 }
 
+void lease_keeper::free_at_once(lease& one, time_point now) {
+    one.state = phase::free;
+    one.ends = now;
+    one.handover.clear();
+}
+
+bool lease_keeper::ended_by_refusals(lease& one, time_point now) const {
+    if (!one.refused_since) {
+        one.refused_since = now;
+    }
+    const candidate* const owner = this->find_candidate(one.owner);
+    return owner != nullptr && owner->steady &&
+           now - *one.refused_since >= this->settings.refusal_confirmed;
+}
+
 void lease_keeper::record(lease_id id, order_outcome outcome, const std::string& handover,
                           time_point now) {
     for (lease& one : this->leases) {
@@ -162,16 +173,14 @@
         return;
     }
     if (one.flight == order::kind::grant && outcome != order_outcome::not_sent &&
-        outcome != order_outcome::refused) {
+        outcome != order_outcome::refused && outcome != order_outcome::ended) {
         // The lease runs from the grant's arrival, which was before now: a packet that was sent
         // again may have arrived long after the order was given.
         one.ends = std::max(one.ends, now + this->longest_hold());
     }
     switch (outcome) {
-        case order_outcome::refused:
-            one.state = phase::free;
-            one.ends = now;
-            one.handover.clear();
+        case order_outcome::ended:
+            free_at_once(one, now);
             return;
         case order_outcome::fenced_off:
             this->seen_higher_fence = true;
@@ -179,6 +188,12 @@
             this->next_fence = this->next_fence.next();
             one.next_send = now + retry_pause;
             return;
+        case order_outcome::refused:
+            if (this->ended_by_refusals(one, now)) {
+                free_at_once(one, now);
+                return;
+            }
+            [[fallthrough]];
         case order_outcome::not_sent:
             if (one.flight == order::kind::grant) {
                 one.ends = std::max(one.ends_before, one.unanswered_until);
@@ -197,6 +212,7 @@
     }
     one.failures = 0;
     one.connect_failures = 0;
+    one.refused_since.reset();
     if (one.flight == order::kind::grant) {
         one.confirmed = true;
         one.routable = true;
--- a/libs/ranges/tests/ranges_test.cpp
+++ b/libs/ranges/tests/ranges_test.cpp
@@ -319,7 +319,7 @@
     own.now += own.settings.renew_every;
     for (const ranges::order& what : own.keeper.due(own.now)) {
         own.keeper.record(what.lease,
-                          what.server.id.value() == "a" ? ranges::order_outcome::refused
+                          what.server.id.value() == "a" ? ranges::order_outcome::ended
                                                         : ranges::order_outcome::done,
                           "", own.now);
     }
@@ -334,6 +334,42 @@
     BOOST_TEST(owner(reborn.keeper, 0, table).born == 2U);
 }
 
+// Guards against keys that are given away while a leaving server, which takes no connections any
+// more, still works on them, and against a crashed server's keys that wait for the end of its
+// lease.
+BOOST_AUTO_TEST_CASE(refused_connections_end_only_a_steady_server) {
+    for (const bool steady : {true, false}) {
+        fixture own(servers({"a", "b"}));
+        auto candidates = servers({"a", "b"});
+        candidates[0].steady = steady;
+        own.keeper.set_candidates(candidates, own.now);
+        own.now += own.settings.renew_every;
+        const gg::time_point renewed = own.now - own.settings.renew_every;
+        gg::time_point freed;
+        for (int step = 0; step < 60 && freed.time_since_epoch().count() == 0; ++step) {
+            for (const ranges::order& what : own.keeper.due(own.now)) {
+                own.keeper.record(what.lease,
+                                  what.server.id.value() == "a" ? ranges::order_outcome::refused
+                                                                : ranges::order_outcome::done,
+                                  "", own.now);
+            }
+            if (step == 0) {
+                BOOST_TEST(!own.keeper.plan(own.load, own.now));
+            }
+            if (own.commit()) {
+                freed = own.now;
+            }
+            own.now += 50ms;
+        }
+        BOOST_REQUIRE(freed.time_since_epoch().count() != 0);
+        if (steady) {
+            BOOST_CHECK(freed - renewed <= own.settings.renew_every + 200ms);
+        } else {
+            BOOST_CHECK(freed - renewed >= own.settings.hold);
+        }
+    }
+}
+
 // Guards against a grant that is carried out late, after its range was released and moved.
 BOOST_AUTO_TEST_CASE(release_waits_for_an_unanswered_grant) {
     fixture own(servers({"a", "b"}));
@@ -455,6 +491,17 @@
             expiring = std::move(waiting);
             for (const ranges::order& what : keeper.due(now)) {
                 const bool silent = silent_until[what.server.id.value()] > now;
+                const auto leaving = std::find_if(
+                    candidates.begin(), candidates.end(), [&what](const ranges::candidate& one) {
+                        return one.life == what.server && !one.accepts;
+                    });
+                if (leaving != candidates.end() && chance(50)) {
+                    // It has closed its listener and works on.
+                    leaving->steady = false;
+                    keeper.set_candidates(candidates, now);
+                    keeper.record(what.lease, ranges::order_outcome::refused, "", now);
+                    continue;
+                }
                 if (silent && chance(50)) {
                     keeper.record(what.lease, ranges::order_outcome::not_sent, "", now);
                 } else if (silent || chance(10)) {
