Longer leases while the store is away; a stopped coordinator renews until it is followed

Its resignation was refused and not repeated, it ended after 2.8 s, and all leases lapsed 2 s later: 400 to 570 refusals in the two seconds before the store's return.

Ruled out: renewal by other hosts without a term; it could keep a lease alive that a later coordinator waits for.

Change: leases are 4 s long while tables cannot be stored, and a new coordinator waits as long for silent owners. A renewal never shortens what the keeper assumes. The resignation is repeated until it is stored or another host holds the term, and the process stays for its grace time meanwhile.

A coordinator that is killed more than 4 s before the end of an outage still loses the leases.

--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -163,6 +163,7 @@
     void read_and_take_over();
     void confirm_takeover(const term_content& mine);
     void end_takeover();
+    void give_up_term();
     void lead(std::uint64_t number);
     void step_down(std::string_view reason);
     void tick();
@@ -647,6 +648,7 @@
         }
     }
     own.keeper.set_candidates(candidates, now);
+    own.keeper.set_store_away(!this->store_ok || !this->store_reachable);
     for (const ranges::order& what : own.keeper.due(now)) {
         this->send(service, what);
     }
@@ -883,24 +885,36 @@
 }
 
 void coordinator::resign() {
-    state& own = *this->implementation;
-    own.resigned = true;
-    if (!own.leading) {
+    this->implementation->resigned = true;
+    this->implementation->give_up_term();
+}
+
+/// Vacates the term's row. Until that has succeeded, leases are still renewed here.
+void coordinator::state::give_up_term() {
+    if (!this->leading) {
         return;
     }
     term_content vacant;
-    vacant.number = own.term->number;
+    vacant.number = this->term->number;
     stored_row row;
     row.table = std::string(term_table);
     row.key = std::string(term_row);
-    row.version = own.version_of(term_table, row.key);
+    row.version = this->version_of(term_table, row.key);
     const std::vector<stored_row> expected{row};
     row.value = encode(vacant);
-    // Until another host can take over, leases are still renewed here.
-    own.store.commit(expected, {row}, [&own](commit_outcome outcome) {
+    this->store.commit(expected, {row}, [this](commit_outcome outcome) {
         if (outcome == commit_outcome::stored) {
-            own.step_down("this process ends");
+            this->step_down("this process ends");
+            return;
         }
+        // The row may have been vacated without an answer, or be another host's.
+        this->read_rows([this](bool done) {
+            if (done && this->term && this->term->host.empty()) {
+                this->step_down("this process ends");
+                return;
+            }
+            this->loop.call_after(commit_retry, [this] { this->give_up_term(); });
+        });
     });
 }
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -124,6 +124,7 @@
         made.host = initial.host;
         made.address = initial.peers;
         made.keeper.hold = std::min(made.keeper.hold, initial.longest_lease);
+        made.keeper.outage_hold = std::min(made.keeper.outage_hold, initial.longest_lease);
         return made;
     }
 
@@ -239,7 +240,9 @@
     void poll_drain() {
         const milliseconds since =
             std::chrono::duration_cast<milliseconds>(wire::event_loop::now() - this->drain_began);
-        const bool answered = this->requests.open_requests() == 0;
+        // Nobody renews leases after this process if the store is away; then it stays while it may.
+        const bool answered =
+            this->requests.open_requests() == 0 && !this->ownership.coordinating();
         if (since > callers_stop && !this->reading_stopped) {
             // What is taken later could not be answered before the process ends.
             this->reading_stopped = true;
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -253,6 +253,10 @@
                 const std::vector<gateway::stored_row>& rows, commit_handler done) override {
         ++this->commits;
         this->after([this, expected, rows, done = std::move(done)] {
+            if (this->rejects) {
+                done(gateway::commit_outcome::rejected);
+                return;
+            }
             for (const gateway::stored_row& row : expected) {
                 if (this->stored[{row.table, row.key}].version != row.version) {
                     done(gateway::commit_outcome::conflict);
@@ -271,6 +275,8 @@
 
     gg::milliseconds delay{1};
     bool lose_answers = false;
+    /// Commits are refused, and nothing is done.
+    bool rejects = false;
     int commits = 0;
 
 private:
@@ -798,6 +804,24 @@
     }
 }
 
+// Guards against leases that lapse since a coordinator that is stopped gives up, although the store
+// is away and nobody can follow it.
+BOOST_AUTO_TEST_CASE(stopped_coordinator_renews_until_it_is_followed) {
+    coordination_fixture own;
+    own.add_hosts(2);
+    own.run_for(1'500ms);
+    const int first = own.coordinating();
+    BOOST_REQUIRE(first >= 0);
+    own.store.rejects = true;
+    own.hosts[static_cast<std::size_t>(first)]->part->resign();
+    own.run_for(1'000ms);
+    BOOST_TEST(own.coordinating() == first);
+    own.store.rejects = false;
+    own.run_for(1'000ms);
+    BOOST_TEST(own.coordinating() == 1 - first);
+    BOOST_TEST(own.term() == 2U);
+}
+
 // Guards against keys that nobody renews after the loss of the coordinator, and against a loss that
 // costs more than a lease.
 BOOST_AUTO_TEST_CASE(lost_coordinator_is_replaced_within_a_lease) {
--- a/libs/ranges/include/ranges/lease_keeper.h
+++ b/libs/ranges/include/ranges/lease_keeper.h
@@ -18,6 +18,10 @@
     /// Length of a lease. Twice the time in which a lost coordinator is replaced would be safer,
     /// half would return the keys of a silent server sooner.
     milliseconds hold{2'000};
+    /// Length while the store is away: no owner can change then, and a lost coordinator cannot be
+    /// replaced. Outages last several seconds; a coordinator that is stopped renews in its grace
+    /// time as well. After a takeover silent owners are waited for as long.
+    milliseconds outage_hold{4'000};
     /// Time between renewals: a quarter of the lease leaves three tries before it ends.
     milliseconds renew_every{500};
     /// A server's clock may run slow by this much; two in a hundred on the users' platform.
@@ -96,6 +100,8 @@
     /// Takes over the stored table. Leases of earlier coordinators may run until `now` plus the
     /// longest lease.
     void adopt(const range_table& stored, time_point now);
+    /// Whether tables can be stored; leases are longer while they cannot.
+    void set_store_away(bool away) { this->store_away = away; }
     /// The servers that may own keys now.
     void set_candidates(const std::vector<candidate>& servers, time_point now);
     /// That life of the server has certainly ended.
@@ -141,6 +147,8 @@
         bool in_flight = false;
         /// What the order under way asks for; the state may have changed since it was sent.
         order::kind flight = order::kind::grant;
+        /// Length of the lease that it asks for.
+        milliseconds flight_hold{0};
         /// The lease for which that order was sent, if this one was split off since.
         lease_id flight_of;
         int failures = 0;
@@ -156,7 +164,8 @@
         time_point unanswered_until;
     };
 
-    milliseconds longest_hold() const;
+    milliseconds present_hold() const;
+    milliseconds longest_hold(milliseconds hold) const;
     lease* find(lease_id id);
     const candidate* find_candidate(const server_life& life) const;
     bool replaced(const server_life& life) const;
@@ -184,6 +193,7 @@
     std::size_t candidates_seen = 0;
     time_point candidates_changed;
     bool seen_higher_fence = false;
+    bool store_away = false;
 };
 
 }  // namespace greengagechute::ranges
--- a/libs/ranges/src/lease_keeper.cpp
+++ b/libs/ranges/src/lease_keeper.cpp
@@ -29,9 +29,13 @@
 lease_keeper::lease_keeper(const keeper_settings& initial, epoch first_fence)
     : settings(initial), next_fence(first_fence) {}
 
-milliseconds lease_keeper::longest_hold() const {
-    return this->settings.hold * percent / (percent - this->settings.clock_slow_percent) +
-           this->settings.delivery;
+milliseconds lease_keeper::present_hold() const {
+    return this->store_away ? this->settings.outage_hold : this->settings.hold;
+}
+
+/// Time from a grant to the end of its lease on a slow clock.
+milliseconds lease_keeper::longest_hold(milliseconds hold) const {
+    return hold * percent / (percent - this->settings.clock_slow_percent) + this->settings.delivery;
 }
 
 void lease_keeper::adopt(const range_table& stored, time_point now) {
@@ -44,7 +48,7 @@
         adopted.fence = this->next_fence;
         adopted.next_send = now;
         adopted.routable = true;
-        adopted.ends = now + this->longest_hold();
+        adopted.ends = now + this->longest_hold(this->settings.outage_hold);
         this->leases.push_back(std::move(adopted));
     }
     this->next_fence = this->next_fence.next();
@@ -117,10 +121,11 @@
         if (one.state == phase::releasing) {
             next.what = order::kind::release;
         } else {
-            next.hold = this->settings.hold;
+            next.hold = this->present_hold();
             next.handover = one.handover;
             one.ends_before = one.ends;
-            one.ends = now + this->longest_hold();
+            one.ends = std::max(one.ends, now + this->longest_hold(next.hold));
+            one.flight_hold = next.hold;
             one.next_send = now + this->settings.renew_every;
         }
         one.in_flight = true;
@@ -176,7 +181,7 @@
         outcome != order_outcome::refused && outcome != order_outcome::ended) {
         // The lease runs from the grant's arrival, which was before now: a packet that was sent
         // again may have arrived long after the order was given.
-        one.ends = std::max(one.ends, now + this->longest_hold());
+        one.ends = std::max(one.ends, now + this->longest_hold(one.flight_hold));
     }
     switch (outcome) {
         case order_outcome::ended:
--- a/libs/ranges/tests/ranges_test.cpp
+++ b/libs/ranges/tests/ranges_test.cpp
@@ -334,6 +334,31 @@
     BOOST_TEST(owner(reborn.keeper, 0, table).born == 2U);
 }
 
+// Guards against leases that lapse in an outage of the store, when nobody can replace a
+// coordinator, and against keys that are given away before a lease of such a time has ended.
+BOOST_AUTO_TEST_CASE(leases_are_longer_while_the_store_is_away) {
+    fixture own(servers({"a", "b"}));
+    own.keeper.set_store_away(true);
+    own.now += own.settings.renew_every;
+    for (const ranges::order& what : own.answer_all(ranges::order_outcome::done)) {
+        BOOST_CHECK(what.hold == own.settings.outage_hold);
+    }
+    const gg::time_point renewed = own.now;
+    own.keeper.set_store_away(false);
+    own.now += own.settings.renew_every;
+    for (const ranges::order& what : own.answer_all(ranges::order_outcome::unanswered)) {
+        BOOST_CHECK(what.hold == own.settings.hold);
+    }
+    while (own.now < renewed + own.settings.outage_hold) {
+        BOOST_REQUIRE(!own.commit());
+        own.now += 50ms;
+        own.answer_all(ranges::order_outcome::unanswered);
+    }
+    own.now += own.settings.outage_hold / 10;
+    own.answer_all(ranges::order_outcome::unanswered);
+    BOOST_TEST(own.commit());
+}
+
 // Guards against keys that are given away while a leaving server, which takes no connections any
 // more, still works on them, and against a crashed server's keys that wait for the end of its
 // lease.
@@ -415,9 +440,14 @@
         std::map<std::string, gg::time_point> silent_until;
         std::vector<late_order> flying;
         std::vector<std::pair<gg::time_point, ranges::order>> expiring;
-        const auto apply = [&held](const ranges::order& what, gg::time_point arrived) {
+        // A shorter renewal may or may not cut a longer lease.
+        const bool shortens = seed % 2 == 0;
+        const auto apply = [&held, shortens](const ranges::order& what, gg::time_point arrived) {
             auto& own = held[what.server.id.value()];
             std::vector<hold> kept;
+            // The server's clock is two in a hundred slow.
+            const auto until =
+                what.what == ranges::order::kind::grant ? arrived + what.hold * 100 / 98 : arrived;
             for (const hold& one : own) {
                 if (one.keys.last < what.keys.first || one.keys.first > what.keys.last) {
                     kept.push_back(one);
@@ -426,6 +456,12 @@
                 if (one.fence > what.fence) {
                     return ranges::order_outcome::fenced_off;
                 }
+                if (!shortens && what.what == ranges::order::kind::grant && one.until > until) {
+                    kept.push_back({{std::max(one.keys.first, what.keys.first),
+                                     std::min(one.keys.last, what.keys.last)},
+                                    one.until,
+                                    what.fence});
+                }
                 if (one.keys.first < what.keys.first) {
                     kept.push_back({{one.keys.first, what.keys.first - 1}, one.until, one.fence});
                 }
@@ -433,9 +469,6 @@
                     kept.push_back({{what.keys.last + 1, one.keys.last}, one.until, one.fence});
                 }
             }
-            // The server's clock is two in a hundred slow.
-            const auto until =
-                what.what == ranges::order::kind::grant ? arrived + what.hold * 100 / 98 : arrived;
             kept.push_back({what.keys, until, what.fence});
             own = std::move(kept);
             return ranges::order_outcome::done;
@@ -464,6 +497,9 @@
                     now + gg::milliseconds(random() % 4'000);
             }
             keeper.set_candidates(candidates, now);
+            if (chance(3)) {
+                keeper.set_store_away(chance(40));
+            }
             load.decay(now);
             if (step % 10 == 0) {
                 keeper.balance(load, now);
