Add a fault soak with real gateways

Gateways as processes, stand-ins for the users' store and servers, proxies, signals; promises are checked from what callers and servers see.

--- a/programs/greengagechutectl/explain.cpp
+++ b/programs/greengagechutectl/explain.cpp
@@ -277,6 +277,7 @@
     }
     const subject about = subject_of(trail);
     std::vector<const log_line*> own;
+    own.reserve(trail.size());
     for (const log_line& line : trail) {
         own.push_back(&line);
     }
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,518 @@
+// A randomized soak: real gateways as processes, stand-ins for the users' store and servers, and
+// faults from outside. Prints the promises that were broken, and exits with 1 if there are any.
+
+#include "hosts.h"
+#include "servers.h"
+#include "stores.h"
+#include "wire/client.h"
+
+#include <nlohmann/json.hpp>
+#include <popt.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <memory>
+#include <random>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace greengagechute;
+using namespace greengagechute::soak;
+
+struct soak_options {
+    std::string program;
+    std::string seeds = "1";
+    int seconds = 20;
+    int gateways = 4;
+    int servers = 6;
+};
+
+constexpr milliseconds request_every{5};
+constexpr milliseconds caller_deadline{1'200};
+/// Gateways take keys and callers after about two seconds.
+constexpr milliseconds warm_up{3'000};
+/// The platform asks for recovery within this time of the last fault (`recoveryS`).
+constexpr milliseconds recovery{15'000};
+constexpr milliseconds judged_at_end{4'000};
+constexpr double served_at_end = 0.95;
+constexpr std::uint32_t keys = 65'536;
+/// Requests that were passed on and whose connection was closed without an answer, per run: the
+/// platform's rules allow three.
+constexpr int most_cut = 3;
+
+constexpr std::size_t most_printed = 20;
+constexpr std::uint16_t claim_port = 6'999;
+
+/// Runs with different seeds go on at the same time on their own addresses.
+std::string loopback_of(unsigned long seed) {
+    constexpr unsigned long parts = 250;
+    return "127." + std::to_string(1 + seed % parts) + "." + std::to_string(seed / parts % parts) +
+           ".1";
+}
+
+/// One seeded run.
+class soak_run {
+public:
+    soak_run(const soak_options& given, unsigned long given_seed)
+        : options(given),
+          seed(given_seed),
+          random(given_seed),
+          directory(std::filesystem::temp_directory_path() /
+                    ("greengagechute-soak-" + std::to_string(::getpid()) + "-" +
+                     std::to_string(given_seed))) {
+        std::filesystem::create_directories(this->directory);
+        for (int number = 0; number < given.servers; ++number) {
+            this->add_server(number % 3 == 2 ? "plain" : "keyed");
+        }
+        for (int number = 0; number < given.gateways; ++number) {
+            this->gateways.push_back(std::make_unique<gateway_host>(
+                this->loop, given.program, this->directory.string(), loopback_of(given_seed),
+                number, this->store.port()));
+        }
+    }
+
+    /// True if no promise was broken.
+    bool run() {
+        if (this->claim.open({loopback_of(this->seed), claim_port})) {
+            std::printf("seed %lu: BROKEN off, another run has its address\n", this->seed);
+            return false;
+        }
+        this->write_configuration();
+        for (const auto& server : this->servers) {
+            server->start();
+        }
+        for (const auto& gateway : this->gateways) {
+            gateway->start();
+        }
+        const milliseconds faults = milliseconds(this->options.seconds * 1'000);
+        this->loop.call_after(warm_up, [this] {
+            this->ask();
+            this->next_fault();
+        });
+        this->loop.call_after(warm_up + faults, [this] { this->heal(); });
+        this->loop.call_after(warm_up + faults + recovery, [this] { this->judging = true; });
+        this->loop.call_after(warm_up + faults + recovery + judged_at_end, [this] {
+            this->asking = false;
+            this->loop.call_after(2 * caller_deadline, [this] { this->loop.stop(); });
+        });
+        this->watch_processes();
+        this->loop.run();
+        this->check_end();
+        return this->report();
+    }
+
+private:
+    void add_server(const std::string& service) {
+        this->servers.push_back(std::make_unique<keyed_server>(
+            this->loop, this->store, this->seen, this->random,
+            "i-" + std::to_string(this->seed) + "-" + std::to_string(this->servers.size()), service,
+            this->servers));
+    }
+
+    int draw(int below) { return static_cast<int>(this->random() % static_cast<unsigned>(below)); }
+
+    void note(const std::string& text) {
+        const auto since =
+            std::chrono::duration_cast<milliseconds>(wire::event_loop::now() - this->began);
+        this->events.push_back(std::to_string(since.count()) + " ms " + text);
+    }
+
+    void write_configuration() {
+        using nlohmann::json;
+        const json columns{"name",           "host",     "prefix",      "kind",   "timeoutS",
+                           "targetLatencyS", "priority", "maxAttempts", "service"};
+        json rows = json::array();
+        rows.push_back({"read", "soak", "/read/", "safe", 1, 0.3, 2, 2, "keyed"});
+        rows.push_back({"credit", "soak", "/credit/", "unsafe", 1, 0.3, 1, 2, "keyed"});
+        rows.push_back({"plain", "soak", "/plain/", "safe", 1, 0.3, 2, 2, "plain"});
+        const json services{
+            {"columns", {"name", "healthPath", "maxConnections", "sharded"}},
+            {"rows", {{"keyed", "/health", 100, true}, {"plain", "/health", 100, false}}}};
+        this->store.put("op", "config",
+                        json{{"version", ++this->version},
+                             {"routes", {{"columns", columns}, {"rows", rows}}},
+                             {"services", services},
+                             {"limits", json::object()}}
+                            .dump());
+    }
+
+    /// Sends one request to a gateway, and goes on.
+    void ask() {
+        if (!this->asking) {
+            return;
+        }
+        this->loop.call_after(request_every, [this] { this->ask(); });
+        std::vector<gateway_host*> targets;
+        for (const auto& gateway : this->gateways) {
+            if (gateway->serving()) {
+                targets.push_back(gateway.get());
+            }
+        }
+        if (targets.empty()) {
+            return;
+        }
+        gateway_host* const target =
+            targets[static_cast<std::size_t>(this->draw(static_cast<int>(targets.size())))];
+        const int kind = this->draw(4);
+        wire::request message;
+        message.method = kind == 0 ? "POST" : "GET";
+        message.target = kind == 0 ? "/credit/x" : kind == 1 ? "/plain/x" : "/read/x";
+        const std::string id = std::to_string(this->seed) + "-" + std::to_string(++this->asked);
+        message.headers = {{"Host", "soak"},
+                           {"Request-Id", id},
+                           {"Deadline-Ms", std::to_string(caller_deadline.count())},
+                           {"Shard-Key", std::to_string(this->random() % keys)}};
+        wire::call_options call;
+        call.timeout = 2 * caller_deadline;
+        this->callers.send(target->front(), message, call,
+                           [this, id, target, sent = wire::event_loop::now(),
+                            judged = this->judging](const wire::call_result& outcome) {
+                               this->check_answer(id, *target, sent, judged, outcome);
+                           });
+    }
+
+    void check_answer(const std::string& id, const gateway_host& target, time_point sent,
+                      bool judged, const wire::call_result& outcome) {
+        this->asked_at_end += judged ? 1 : 0;
+        if (outcome.error) {
+            const bool passed_on = this->seen.runs_of(id) > 0;
+            if (passed_on && outcome.error != wire::wire_errc::timeout && !target.cut_since(sent)) {
+                ++this->cut;
+                this->note("request " + id + " cut by " + target.name());
+            }
+            return;
+        }
+        const int code = outcome.message.code;
+        if (code == 200) {
+            const std::string* signature =
+                wire::find_header(outcome.message.headers, "Response-Signature");
+            if (signature == nullptr || *signature != "signed " + id ||
+                !outcome.message.body.starts_with(id + " at ")) {
+                this->seen.broken("whole answer", "request " + id + " got another answer");
+            }
+            this->served_in_end += judged ? 1 : 0;
+        } else if (code == 503 || code == 429 || code == 408 || code == 421) {
+            this->refused.push_back(id);
+        }
+    }
+
+    void next_fault() {
+        if (this->healing) {
+            return;
+        }
+        this->loop.call_after(milliseconds(150 + this->draw(900)), [this] { this->next_fault(); });
+        gateway_host& host = *this->gateways[static_cast<std::size_t>(
+            this->draw(static_cast<int>(this->gateways.size())))];
+        keyed_server& server = *this->servers[static_cast<std::size_t>(
+            this->draw(static_cast<int>(this->servers.size())))];
+        switch (this->draw(14)) {
+            case 0:
+                this->restart_killed(host);
+                break;
+            case 1:
+                this->restart_stopped(host);
+                break;
+            case 2:
+                this->pause(host);
+                break;
+            case 3:
+                if (host.serving()) {
+                    this->note("SIGHUP " + host.name());
+                    host.hang_up();
+                }
+                break;
+            case 4:
+                this->disturb(host.store_path(), "store path of " + host.name());
+                break;
+            case 5:
+                this->disturb(server.path(), "path of " + server.name());
+                break;
+            case 6:
+                this->disturb_store();
+                break;
+            case 7:
+                this->crash(server);
+                break;
+            case 8:
+                this->freeze(server);
+                break;
+            case 9:
+                this->drain(server);
+                break;
+            case 10:
+                if (this->servers.size() < 3 * static_cast<std::size_t>(this->options.servers)) {
+                    this->add_server(this->draw(3) == 0 ? "plain" : "keyed");
+                    this->note("new server " + this->servers.back()->name());
+                    this->servers.back()->start();
+                }
+                break;
+            case 11:
+                this->note("configuration " + std::to_string(this->version + 1));
+                this->write_configuration();
+                break;
+            case 12:
+                this->note("a row that is no server");
+                this->store.put("servers", "i-broken", "{\"address\":7");
+                break;
+            default:
+                for (const auto& each : this->gateways) {
+                    if (this->draw(2) == 0) {
+                        this->restart_killed(*each);
+                    }
+                }
+                break;
+        }
+    }
+
+    void restart_killed(gateway_host& host) {
+        if (host.serving()) {
+            this->note("SIGKILL " + host.name());
+            host.kill();
+            this->loop.call_after(milliseconds(100 + this->draw(1'500)), [&host] { host.start(); });
+        }
+    }
+
+    void restart_stopped(gateway_host& host) {
+        if (host.serving()) {
+            this->note("SIGTERM " + host.name());
+            host.terminate();
+            this->restart_when_gone(host);
+        }
+    }
+
+    void restart_when_gone(gateway_host& host) {
+        this->loop.call_after(milliseconds(50), [this, &host] {
+            if (host.gone()) {
+                host.start();
+            } else {
+                this->restart_when_gone(host);
+            }
+        });
+    }
+
+    void pause(gateway_host& host) {
+        if (!host.serving()) {
+            return;
+        }
+        const milliseconds time(200 + this->draw(4'000));
+        this->note("SIGSTOP " + host.name() + " for " + std::to_string(time.count()) + " ms");
+        host.pause(true);
+        this->loop.call_after(time, [this, &host] {
+            if (host.paused()) {
+                host.pause(false);
+                this->seen.forgive(wire::event_loop::now());
+            }
+        });
+    }
+
+    void disturb(proxy& path, const std::string& name) {
+        proxy_fault fault;
+        const int kind = this->draw(5);
+        if (kind == 0) {
+            this->note("reset " + name);
+            path.reset();
+            return;
+        }
+        fault.delay = milliseconds(kind == 1 ? 20 + this->draw(300) : 0);
+        fault.drops_forward = kind == 2 || kind == 4;
+        fault.drops_backward = kind == 3 || kind == 4;
+        this->note(name + (kind == 1   ? " delayed"
+                           : kind == 2 ? " cut forward"
+                           : kind == 3 ? " cut backward"
+                                       : " silent"));
+        path.set_fault(fault);
+        this->loop.call_after(milliseconds(500 + this->draw(4'000)), [this, &path] {
+            path.set_fault({});
+            this->seen.forgive(wire::event_loop::now());
+        });
+    }
+
+    void disturb_store() {
+        static constexpr std::array modes{store_mode::busy, store_mode::silent, store_mode::lossy};
+        const int mode = this->draw(3);
+        this->note(mode == 0 ? "store busy" : mode == 1 ? "store silent" : "store loses answers");
+        this->store.set_mode(modes.at(static_cast<std::size_t>(mode)));
+        this->loop.call_after(milliseconds(500 + this->draw(5'000)),
+                              [this] { this->store.set_mode(store_mode::normal); });
+    }
+
+    void crash(keyed_server& server) {
+        if (server.up()) {
+            this->note("crash of " + server.name());
+            server.crash();
+            this->loop.call_after(milliseconds(300 + this->draw(4'000)), [&server] {
+                if (!server.up()) {
+                    server.start();
+                }
+            });
+        }
+    }
+
+    void freeze(keyed_server& server) {
+        if (server.up()) {
+            this->note("freeze of " + server.name());
+            server.freeze(true);
+            this->loop.call_after(milliseconds(300 + this->draw(4'000)),
+                                  [&server] { server.freeze(false); });
+        }
+    }
+
+    void drain(keyed_server& server) {
+        const auto staying = std::count_if(this->servers.begin(), this->servers.end(),
+                                           [](const auto& one) { return one->up(); });
+        if (!server.up() || staying <= this->options.servers / 2) {
+            return;
+        }
+        this->note("drain of " + server.name());
+        server.set_draining();
+        this->loop.call_after(milliseconds(300 + this->draw(2'000)), [&server] {
+            if (server.up()) {
+                server.leave();
+            }
+        });
+        this->loop.call_after(milliseconds(3'500), [&server] {
+            if (server.up()) {
+                server.crash();
+            }
+        });
+        this->loop.call_after(milliseconds(9'000), [&server] {
+            if (!server.up()) {
+                server.start();
+            }
+        });
+    }
+
+    void heal() {
+        this->healing = true;
+        this->note("no more faults");
+        this->store.set_mode(store_mode::normal);
+        for (const auto& server : this->servers) {
+            server->path().set_fault({});
+            server->freeze(false);
+            if (!server->up()) {
+                server->start();
+            }
+        }
+        for (const auto& gateway : this->gateways) {
+            gateway->store_path().set_fault({});
+            if (gateway->paused()) {
+                gateway->pause(false);
+            }
+        }
+        this->seen.forgive(wire::event_loop::now());
+    }
+
+    void watch_processes() {
+        for (const auto& gateway : this->gateways) {
+            if (gateway->ended_by_itself()) {
+                this->seen.broken("processes go on", gateway->name() + " ended by itself");
+                gateway->start();
+            }
+        }
+        this->loop.call_after(milliseconds(50), [this] { this->watch_processes(); });
+    }
+
+    void check_end() {
+        for (const std::string& id : this->refused) {
+            if (this->seen.runs_of(id) > 0) {
+                this->seen.broken("not run", "request " + id + " was refused and has run");
+            }
+        }
+        if (this->cut > most_cut) {
+            this->seen.broken("no cut", std::to_string(this->cut) + " requests were cut");
+        }
+        if (this->served_in_end < served_at_end * this->asked_at_end) {
+            this->seen.broken("recovery", std::to_string(this->served_in_end) + " of " +
+                                              std::to_string(this->asked_at_end) +
+                                              " requests served after the recovery time");
+        }
+    }
+
+    bool report() {
+        const bool good = this->seen.violations().empty();
+        std::printf(
+            "seed %lu: %d requests, %zu refused, %d of %d served at the end, %zu faults: %s\n",
+            this->seed, this->asked, this->refused.size(), this->served_in_end, this->asked_at_end,
+            this->events.size(), good ? "kept" : "BROKEN");
+        if (good) {
+            std::filesystem::remove_all(this->directory);
+            return true;
+        }
+        for (const std::string& event : this->events) {
+            std::printf("  %s\n", event.c_str());
+        }
+        std::size_t printed = 0;
+        for (const std::string& violation : this->seen.violations()) {
+            if (++printed > most_printed) {
+                std::printf("  and %zu more\n", this->seen.violations().size() - most_printed);
+                break;
+            }
+            std::printf("  broken %s\n", violation.c_str());
+        }
+        std::printf("  logs: %s\n", this->directory.c_str());
+        return false;
+    }
+
+    soak_options options;
+    unsigned long seed;
+    std::mt19937_64 random;
+    std::filesystem::path directory;
+    wire::event_loop loop;
+    /// Holds the address of this seed, so that two runs do not mix.
+    wire::listener claim{loop, [](const std::shared_ptr<wire::stream>&) {}};
+    row_store store{loop};
+    observer seen;
+    std::vector<std::unique_ptr<keyed_server>> servers;
+    std::vector<std::unique_ptr<gateway_host>> gateways;
+    wire::client callers{loop, {}};
+    time_point began = wire::event_loop::now();
+    std::vector<std::string> events;
+    std::vector<std::string> refused;
+    std::uint64_t version = 0;
+    int asked = 0;
+    int cut = 0;
+    int asked_at_end = 0;
+    int served_in_end = 0;
+    bool asking = true;
+    bool judging = false;
+    bool healing = false;
+};
+
+}  // namespace
+
+int main(int argc, const char** argv) {
+    soak_options options;
+    char* program = nullptr;
+    char* seeds = nullptr;
+    const poptOption table[] = {
+        {"program", 'p', POPT_ARG_STRING, &program, 0, "gateway to run", "FILE"},
+        {"seeds", 's', POPT_ARG_STRING, &seeds, 0, "seeds, separated by commas (1)", "LIST"},
+        {"seconds", 't', POPT_ARG_INT, &options.seconds, 0, "time with faults (20)", "S"},
+        {"gateways", 'g', POPT_ARG_INT, &options.gateways, 0, "gateways (4)", "N"},
+        {"servers", 'n', POPT_ARG_INT, &options.servers, 0, "servers (6)", "N"},
+        POPT_AUTOHELP POPT_TABLEEND};
+    poptContext context = poptGetContext("soak", argc, argv, table, 0);
+    const int code = poptGetNextOpt(context);
+    poptFreeContext(context);
+    if (code < -1 || program == nullptr) {
+        std::fprintf(stderr, "soak: --program is needed; see --help\n");
+        return 2;
+    }
+    options.program = program;
+    options.seeds = seeds != nullptr ? seeds : options.seeds;
+    std::free(program);
+    std::free(seeds);
+    bool kept = true;
+    std::istringstream list(options.seeds);
+    for (std::string seed; std::getline(list, seed, ',');) {
+        kept = soak_run(options, std::stoul(seed)).run() && kept;
+        std::fflush(stdout);
+    }
+    return kept ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/servers.cpp
@@ -0,0 +1,289 @@
+#include "servers.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace greengagechute::soak {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int slots = 3;
+constexpr std::size_t queue_length = 12;
+constexpr milliseconds entry_lapses{2'600};
+/// The platform's rule for orders that were held up (RULES, thawSlackS).
+constexpr milliseconds thaw_slack{300};
+constexpr int clock_slow_percent = 2;
+constexpr int percent = 100;
+constexpr int misdirected = 421;
+constexpr int unavailable = 503;
+constexpr int fenced = 409;
+constexpr int failed = 500;
+
+std::string text_of(const wire::request& message, const char* name) {
+    const std::string* found = wire::find_header(message.headers, name);
+    return found != nullptr ? *found : std::string();
+}
+
+}  // namespace
+
+void observer::broken(const std::string& promise, const std::string& detail) {
+    this->found.push_back(promise + ": " + detail);
+}
+
+void observer::began(const std::string& request, bool safe, const std::string& server) {
+    if (++this->runs[request] > 1 && !safe) {
+        this->broken("at most once", "request " + request + " ran again at " + server);
+    }
+}
+
+int observer::runs_of(const std::string& request) const {
+    const auto counted = this->runs.find(request);
+    return counted == this->runs.end() ? 0 : counted->second;
+}
+
+bool observer::forgives(time_point now) const {
+    return now - this->forgiven_since < thaw_slack;
+}
+
+keyed_server::keyed_server(wire::event_loop& own_loop, row_store& rows, observer& observed,
+                           std::mt19937_64& generator, std::string own_id, std::string own_service,
+                           const std::vector<std::unique_ptr<keyed_server>>& all)
+    : loop(own_loop),
+      store(rows),
+      seen(observed),
+      random(generator),
+      id(std::move(own_id)),
+      service(std::move(own_service)),
+      others(all),
+      way(own_loop, {"127.0.0.1", 1}) {}
+
+void keyed_server::start() {
+    ++this->life;
+    this->born = static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
+                                                std::chrono::system_clock::now().time_since_epoch())
+                                                .count());
+    this->draining = false;
+    this->server = std::make_unique<wire::server>(
+        this->loop,
+        [this](const std::shared_ptr<wire::incoming>& request) { this->handle(request); });
+    static_cast<void>(this->server->open({"127.0.0.1", 0}));
+    this->way.set_target({"127.0.0.1", this->server->port()});
+    this->way.set_listening(true);
+    this->publish();
+}
+
+void keyed_server::leave() {
+    this->way.set_listening(false);
+}
+
+void keyed_server::crash() {
+    this->way.set_listening(false);
+    this->server.reset();
+    this->way.reset();
+    this->held.clear();
+    this->queue.clear();
+    this->waiting_for_thaw.clear();
+    this->running = 0;
+    ++this->life;
+    this->loop.call_after(entry_lapses, [this, ended = this->life] {
+        if (this->life == ended) {
+            this->store.erase("servers", this->id);
+        }
+    });
+}
+
+void keyed_server::set_draining() {
+    this->draining = true;
+    this->publish();
+}
+
+void keyed_server::freeze(bool next) {
+    this->frozen = next;
+    if (!next) {
+        for (const auto& action : std::exchange(this->waiting_for_thaw, {})) {
+            action();
+        }
+    }
+}
+
+void keyed_server::publish() {
+    const json entry{
+        {"address", "127.0.0.1:" + std::to_string(this->way.address().port)},
+        {"born", this->born},
+        {"info", {{"service", this->service}, {"version", "v1"}, {"zone", "a"}, {"slots", slots}}},
+        {"status",
+         {{"state", this->draining ? "draining" : "ready"}, {"sequence", 1}, {"warmupLeftS", 0}}}};
+    this->store.put("servers", this->id, entry.dump());
+}
+
+std::string keyed_server::load() const {
+    return std::to_string(this->running) + "," + std::to_string(this->queue.size()) + "," +
+           std::to_string(slots);
+}
+
+void keyed_server::handle(const std::shared_ptr<wire::incoming>& request) {
+    const std::string& target = request->message().target;
+    const time_point arrived = wire::event_loop::now();
+    const auto act = [this, request, arrived, target] {
+        const std::string expected = text_of(request->message(), "Expect-Instance");
+        if (!expected.empty() && expected != this->id) {
+            reply(request, misdirected, "", {{"Not-Executed", "1"}, {"Instance-Id", this->id}});
+        } else if (target == "/greengagechute/grant" || target == "/greengagechute/release") {
+            this->order(request, arrived, target == "/greengagechute/grant");
+        } else {
+            this->accept(request);
+        }
+    };
+    if (this->frozen) {
+        this->waiting_for_thaw.emplace_back(act);
+    } else {
+        act();
+    }
+}
+
+void keyed_server::remove_range(std::uint32_t first, std::uint32_t last) {
+    std::vector<hold> kept;
+    for (const hold& one : this->held) {
+        if (one.last < first || one.first > last) {
+            kept.push_back(one);
+            continue;
+        }
+        if (one.first < first) {
+            kept.push_back({one.first, first - 1, one.fence, one.until});
+        }
+        if (one.last > last) {
+            kept.push_back({last + 1, one.last, one.fence, one.until});
+        }
+    }
+    this->held = std::move(kept);
+}
+
+void keyed_server::check_others(const hold& granted, time_point now) const {
+    // A grant that is carried out late counts from its arrival, and may have run out.
+    if (granted.until <= now || this->seen.forgives(now)) {
+        return;
+    }
+    for (const auto& other : this->others) {
+        if (other.get() == this || !other->up() || other->service != this->service) {
+            continue;
+        }
+        for (const hold& one : other->held) {
+            if (one.first <= granted.last && granted.first <= one.last && one.until > now) {
+                this->seen.broken(
+                    "one owner",
+                    this->id + " is granted keys from " + std::to_string(granted.first) +
+                        " while " + other->id + " holds them, fences " +
+                        std::to_string(granted.fence) + " and " + std::to_string(one.fence) + ", " +
+                        std::to_string(
+                            std::chrono::duration_cast<milliseconds>(granted.until - now).count()) +
+                        " ms left");
+                return;
+            }
+        }
+    }
+}
+
+void keyed_server::order(const std::shared_ptr<wire::incoming>& request, time_point arrived,
+                         bool grant) {
+    const json body = json::parse(request->message().body);
+    hold next;
+    next.first = body["from"];
+    next.last = body["target"];
+    next.fence = body["fence"];
+    for (const hold& one : this->held) {
+        if (grant && one.first <= next.last && next.first <= one.last && one.fence > next.fence) {
+            reply(request, fenced, "");
+            return;
+        }
+    }
+    this->remove_range(next.first, next.last);
+    if (grant) {
+        const auto length = std::chrono::duration<double>(body["holdS"].get<double>()) * percent /
+                            (percent - clock_slow_percent);
+        next.until = arrived + std::chrono::duration_cast<time_point::duration>(length);
+        this->check_others(next, wire::event_loop::now());
+    } else {
+        // Keeps the fence, so that an older grant is refused.
+        next.until = {};
+    }
+    this->held.push_back(next);
+    reply(request, 200, "", {{"Handover", "warm"}});
+}
+
+bool keyed_server::holds_key(std::uint32_t key, time_point now) const {
+    return std::any_of(this->held.begin(), this->held.end(), [key, now](const hold& one) {
+        return one.first <= key && key <= one.last && one.until > now;
+    });
+}
+
+void keyed_server::accept(const std::shared_ptr<wire::incoming>& request) {
+    job next;
+    next.request = request;
+    next.request_id = text_of(request->message(), "Request-Id");
+    next.safe = request->message().method == "GET";
+    const std::string key = text_of(request->message(), "Shard-Key");
+    next.keyed = this->service == "keyed";
+    next.key = key.empty() ? 0 : static_cast<std::uint32_t>(std::stoul(key));
+    if (next.keyed && !this->holds_key(next.key, wire::event_loop::now())) {
+        reply(request, misdirected, "",
+              {{"Not-Executed", "1"}, {"Request-Id", next.request_id}, {"Instance-Id", this->id}});
+    } else if (this->running < slots) {
+        this->run(std::move(next));
+    } else if (this->queue.size() < queue_length) {
+        this->queue.push_back(std::move(next));
+    } else {
+        reply(request, unavailable, "",
+              {{"Not-Executed", "1"},
+               {"Request-Id", next.request_id},
+               {"Server-Load", this->load()}});
+    }
+}
+
+void keyed_server::run(job next) {
+    ++this->running;
+    this->seen.began(next.request_id, next.safe, this->id);
+    const bool is_long = this->random() % 40 == 0;
+    const milliseconds work(static_cast<std::int64_t>(5 + this->random() % 40) *
+                            (is_long ? 10 : 1));
+    this->loop.call_after(
+        work, [this, next = std::move(next), own = this->life] { this->finish(next, own); });
+}
+
+void keyed_server::finish(const job& done, int own) {
+    if (own != this->life) {
+        return;
+    }
+    const auto answer = [this, done, own] {
+        if (own != this->life) {
+            return;
+        }
+        const bool lapsed = done.keyed && !this->holds_key(done.key, wire::event_loop::now());
+        reply(done.request, lapsed ? failed : 200, done.request_id + " at " + this->id,
+              {{"Request-Id", done.request_id},
+               {"Response-Signature", "signed " + done.request_id},
+               {"Server-Load", this->load()}});
+        --this->running;
+        while (this->running < slots && !this->queue.empty()) {
+            job next = std::move(this->queue.front());
+            this->queue.pop_front();
+            if (next.keyed && !this->holds_key(next.key, wire::event_loop::now())) {
+                reply(next.request, misdirected, "",
+                      {{"Not-Executed", "1"}, {"Request-Id", next.request_id}});
+            } else {
+                this->run(std::move(next));
+            }
+        }
+    };
+    if (this->frozen) {
+        this->waiting_for_thaw.emplace_back(answer);
+    } else {
+        answer();
+    }
+}
+
+}  // namespace greengagechute::soak
