Make a server's next life release what it may have got

A server that has started again under its id gets renewals meant for its last life until the coordinator learns of the start; then the keys were taken as free, since the next life holds nothing, and were given on while it held them.

Ruled out: leases of an outage that are counted too short (the hold was renewed after the restart); a frozen server's late grants (their time had run out).

Change: a lease whose owner has a next life is released there first, unless no grant of it can be in force any more.

--- a/libs/ranges/include/ranges/lease_keeper.h
+++ b/libs/ranges/include/ranges/lease_keeper.h
@@ -168,7 +168,8 @@
     milliseconds longest_hold(milliseconds hold) const;
     lease* find(lease_id id);
     const candidate* find_candidate(const server_life& life) const;
-    bool replaced(const server_life& life) const;
+    const candidate* find_next_life(const server_life& life) const;
+    static void follow_life(lease& one, const candidate& next_life, time_point now);
     void record_one(lease& one, order_outcome outcome, const std::string& handover, time_point now);
     void fail(lease& failed, time_point now);
     static void free_at_once(lease& one, time_point now);
--- a/libs/ranges/src/lease_keeper.cpp
+++ b/libs/ranges/src/lease_keeper.cpp
@@ -60,11 +60,34 @@
     return found == this->candidates.end() ? nullptr : &*found;
 }
 
-bool lease_keeper::replaced(const server_life& life) const {
-    return std::any_of(this->candidates.begin(), this->candidates.end(),
-                       [&life](const candidate& one) {
-                           return one.life.id == life.id && one.life.born > life.born;
-                       });
+const candidate* lease_keeper::find_next_life(const server_life& life) const {
+    const auto found = std::find_if(this->candidates.begin(), this->candidates.end(),
+                                    [&life](const candidate& one) {
+                                        return one.life.id == life.id && one.life.born > life.born;
+                                    });
+    return found == this->candidates.end() ? nullptr : &*found;
+}
+
+/// The owner's process has ended. Its next life has the same id, so that grants of the last two
+/// seconds may have reached it: it has to release them before the keys are free.
+void lease_keeper::follow_life(lease& one, const candidate& next_life, time_point now) {
+    if (now >= one.ends) {
+        free_at_once(one, now);
+        return;
+    }
+    one.owner = next_life.life;
+    one.destination.reset();
+    if (next_life.accepts) {
+        one.destination = next_life.life;
+    }
+    one.state = phase::releasing;
+    one.next_send = now;
+    one.handover.clear();
+    one.confirmed = false;
+    one.routable = false;
+    one.failures = 0;
+    one.connect_failures = 0;
+    one.refused_since.reset();
 }
 
 lease_keeper::lease* lease_keeper::find(lease_id id) {
@@ -89,9 +112,9 @@
         this->candidates_changed = now;
     }
     for (lease& one : this->leases) {
-        if (this->replaced(one.owner) && one.state != phase::free) {
-            // The owner's process has ended, and its next life holds nothing.
-            free_at_once(one, now);
+        const candidate* const next_life = this->find_next_life(one.owner);
+        if (next_life != nullptr && one.state != phase::free) {
+            follow_life(one, *next_life, now);
             continue;
         }
         const candidate* owner = this->find_candidate(one.owner);
@@ -344,12 +367,9 @@
             result.push_back(std::move(one));
             continue;
         }
-        const candidate* next_life = nullptr;
-        for (const candidate& other : this->candidates) {
-            if (other.accepts && other.life.id == one.owner.id &&
-                other.life.born > one.owner.born) {
-                next_life = &other;
-            }
+        const candidate* next_life = this->find_next_life(one.owner);
+        if (next_life != nullptr && !next_life->accepts) {
+            next_life = nullptr;
         }
         key_position first = one.keys.first;
         while (first <= one.keys.last) {
--- a/libs/ranges/tests/ranges_test.cpp
+++ b/libs/ranges/tests/ranges_test.cpp
@@ -329,6 +329,12 @@
     auto again = servers({"a", "b"});
     again[0].life.born = 2;
     reborn.keeper.set_candidates(again, reborn.now);
+    // A renewal of the last life may have reached the next one: it has to give the keys up.
+    BOOST_TEST(!reborn.commit());
+    const auto releases = reborn.answer_all(ranges::order_outcome::done);
+    BOOST_REQUIRE(releases.size() == 1U);
+    BOOST_CHECK(releases[0].what == ranges::order::kind::release);
+    BOOST_TEST(releases[0].server.born == 2U);
     BOOST_REQUIRE(reborn.commit());
     ranges::range_table table;
     BOOST_TEST(owner(reborn.keeper, 0, table).born == 2U);
@@ -438,6 +444,8 @@
         std::vector<ranges::candidate> candidates = servers({"a", "b", "c", "d"});
         std::map<std::string, std::vector<hold>> held;
         std::map<std::string, gg::time_point> silent_until;
+        std::map<std::string, std::uint64_t> reborn;
+        std::map<std::string, gg::time_point> registered_at;
         std::vector<late_order> flying;
         std::vector<std::pair<gg::time_point, ranges::order>> expiring;
         // A shorter renewal may or may not cut a longer lease.
@@ -486,16 +494,21 @@
             if (chance(1)) {
                 // A restart: the new life holds nothing.
                 auto& server = candidates[random() % candidates.size()];
-                server.life.born += 1;
+                ++reborn[server.life.id.value()];
                 held[server.life.id.value()].clear();
-                std::erase_if(flying, [&server](const late_order& one) {
-                    return one.what.server.id == server.life.id;
-                });
+                // Orders under way reach the next life, which has the same id.
+                registered_at[server.life.id.value()] = now + gg::milliseconds(random() % 1'500);
             }
             if (chance(2)) {
                 silent_until[candidates[random() % candidates.size()].life.id.value()] =
                     now + gg::milliseconds(random() % 4'000);
             }
+            for (ranges::candidate& server : candidates) {
+                // The keeper learns of a restart after a time.
+                if (now >= registered_at[server.life.id.value()]) {
+                    server.life.born = 1 + reborn[server.life.id.value()];
+                }
+            }
             keeper.set_candidates(candidates, now);
             if (chance(3)) {
                 keeper.set_store_away(chance(40));
