Keep a coordinator that lacks the store as all others do; refuse keys long without an owner

Hosts that had heard for a second that the coordinator lacked the store tried to take over, although they lacked it too; one succeeded when the store returned, and the new coordinator waited 4.1 s for the leases of servers that had left.

Ruled out: a shorter wait after a takeover; a leaving server may still work.

Change: a host tries only while it knows the store to be reachable. A request for a key that has had no owner for 2.5 s is refused at once and told to come back after 0.4 to 0.8 s.

--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -385,13 +385,14 @@
                              {"ranges", known.ranges.size()}});
         this->owners(service, known);
     }
-    if (answer.has_store) {
+    if (answer.has_store || !this->store_reachable) {
+        // Without the store this host could not follow either, and the coordinator may get it back
+        // at the same time.
         this->leader_without_store = false;
     } else if (!this->leader_without_store) {
         this->leader_without_store = true;
         this->leader_without_store_since = now;
     } else if (now - this->leader_without_store_since > this->settings.isolation / 2) {
-        // Succeeds only if this host reaches the store.
         this->leader_without_store = false;
         this->leader_lost("without the store");
     }
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -108,6 +108,11 @@
 constexpr int refused_tries = 3;
 /// Pause before a full owner is asked again: about the time in which a slot becomes free.
 constexpr milliseconds full_pause{40};
+/// A key without an owner for longer than this waits neither for a move nor for the end of a lease
+/// of two seconds, but for the store. Requests for it are refused at once.
+constexpr milliseconds longest_move{2'500};
+/// Pause that callers are asked for then, before chance is added.
+constexpr milliseconds unowned_pause{400};
 
 /// Second tries after a refusal by an owner that has just lost a key: from the allowance beyond the
 /// ratio, shared by the hosts.
@@ -195,6 +200,8 @@
     std::map<server_id, server_state> servers;
     ranges::range_table owners;
     time_point owners_learned;
+    /// Ranges without an owner, since when.
+    std::map<ranges::key_position, time_point> unowned_since;
     /// By position in `owners`: its owner has refused a key, and one request asks it again at that
     /// time while the others wait.
     std::vector<time_point> moving;
@@ -260,6 +267,7 @@
     placement choose_owner(const exchange& one, service_state& own, time_point now);
     bool place(const exchange_handle& one, service_state& own, time_point now);
     bool is_hopeless(const exchange& one, const service_state& own, time_point now) const;
+    static bool is_long_unowned(const exchange& one, const service_state& own, time_point now);
     double wait_estimate(const exchange& one, const service_state& own, time_point now) const;
     void send(const exchange_handle& one, server_state& server, time_point now);
     void log_sent(const exchange_handle& one, const service_state& own, const server_state& server,
@@ -372,6 +380,15 @@
     service_state& target = own.service_of(service, wire::event_loop::now());
     target.owners = std::move(owners);
     target.owners_learned = wire::event_loop::now();
+    std::map<ranges::key_position, time_point> unowned;
+    for (const ranges::range_owner& entry : target.owners.ranges) {
+        if (entry.owner.id.value().empty()) {
+            const auto known = target.unowned_since.find(entry.keys.first);
+            unowned[entry.keys.first] =
+                known == target.unowned_since.end() ? target.owners_learned : known->second;
+        }
+    }
+    target.unowned_since = std::move(unowned);
     target.moving.assign(target.owners.ranges.size(), time_point{});
     for (const exchange_handle& one : target.waiting) {
         one->not_before = {};
@@ -499,6 +516,10 @@
     if (this->place(one, own, now)) {
         return;
     }
+    if (is_long_unowned(*one, own, now)) {
+        this->refuse(one, gateway_errc::no_owner, now);
+        return;
+    }
     if (this->is_hopeless(*one, own, now)) {
         this->refuse(one, gateway_errc::overloaded, now);
         return;
@@ -629,6 +650,15 @@
     return rate > 0 ? (ahead + 1) * latency / rate : 0;
 }
 
+bool front::state::is_long_unowned(const exchange& one, const service_state& own, time_point now) {
+    if (!one.divided || own.owners.ranges.empty()) {
+        return false;
+    }
+    const ranges::range_owner& range = own.owners.ranges[position_of(own.owners, one.key)];
+    const auto since = own.unowned_since.find(range.keys.first);
+    return since != own.unowned_since.end() && now - since->second > longest_move;
+}
+
 bool front::state::is_hopeless(const exchange& one, const service_state& own,
                                time_point now) const {
     const double left = std::chrono::duration<double, std::milli>(one.give_up - now).count();
@@ -959,6 +989,11 @@
             this->send(one, *found.server, now);
             continue;
         }
+        if (is_long_unowned(*one, own, now)) {
+            next = own.waiting.erase(next);
+            this->refuse(one, gateway_errc::no_owner, now);
+            continue;
+        }
         const double left = std::chrono::duration<double, std::milli>(one->give_up - now).count();
         if (left < own.latency_ms * least_useful_share) {
             next = own.waiting.erase(next);
@@ -978,7 +1013,8 @@
         return;
     }
     const service_state& own = this->service_of(one->service, now);
-    const double wait_ms = std::max<double>(static_cast<double>(least_retry_after.count()),
+    const milliseconds least = is_long_unowned(*one, own, now) ? unowned_pause : least_retry_after;
+    const double wait_ms = std::max<double>(static_cast<double>(least.count()),
                                             this->wait_estimate(*one, own, now) / 2) *
                            (1.0 + this->draw());
     this->log.add(one->trail, telemetry::level::warning, "request_refused",
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -775,6 +775,25 @@
     BOOST_TEST(served >= asked / 2 + (arrivals - asked) / 2 - 1);
 }
 
+// Plays keys whose owner has left while the store is away, and guards against callers that are held
+// until their deadline although nobody can serve them.
+BOOST_AUTO_TEST_CASE(keys_long_without_an_owner_are_refused_at_once) {
+    fixture own;
+    own.own("");
+    gg::time_point asked = wire::event_loop::now();
+    BOOST_TEST(own.ask("GET", "/keys/x", "1000", "5").message.code == 503);
+    BOOST_CHECK(wire::event_loop::now() - asked > 500ms);
+    own.loop.call_after(2'000ms, [&own] { own.loop.stop(); });
+    own.loop.run();
+    asked = wire::event_loop::now();
+    const auto refused = own.ask("GET", "/keys/x", "1000", "5");
+    BOOST_TEST(refused.message.code == 503);
+    BOOST_CHECK(wire::event_loop::now() - asked < 100ms);
+    const std::string* pause = wire::find_header(refused.message.headers, "Retry-After");
+    BOOST_REQUIRE(pause != nullptr);
+    BOOST_TEST(std::stod(*pause) >= 0.4);
+}
+
 // Guards against an answer later than the caller waits, without a final answer.
 BOOST_AUTO_TEST_CASE(silent_server_ends_at_the_deadline) {
     fixture own;
@@ -822,6 +841,23 @@
     BOOST_TEST(own.term() == 2U);
 }
 
+// Guards against a working coordinator that is replaced because it lacks the store, by hosts that
+// lack it as well: the new one would have to wait for the leases of servers that have left.
+BOOST_AUTO_TEST_CASE(coordinator_stays_when_all_hosts_lack_the_store) {
+    coordination_fixture own;
+    own.add_hosts(3);
+    own.run_for(1'500ms);
+    const int first = own.coordinating();
+    BOOST_REQUIRE(first >= 0);
+    for (const auto& host : own.hosts) {
+        host->part->set_store_reachable(false);
+    }
+    const int commits = own.store.commits;
+    own.run_for(2'500ms);
+    BOOST_TEST(own.store.commits == commits);
+    BOOST_TEST(own.coordinating() == first);
+}
+
 // Guards against keys that nobody renews after the loss of the coordinator, and against a loss that
 // costs more than a lease.
 BOOST_AUTO_TEST_CASE(lost_coordinator_is_replaced_within_a_lease) {
