Remove repetitions in table_watch and lease_keeper

The lines on a regained watch stood in read() and watch(), the sum of the accepting weights three times; least_loaded had a parameter that was always 0; unowned() had no caller. Behaviour is unchanged.

--- a/libs/gateway/include/gateway/table_watch.h
+++ b/libs/gateway/include/gateway/table_watch.h
@@ -36,6 +36,8 @@
     void read();
     void watch();
     void failed(const status& error);
+    /// @return  whether the store could not be reached just before
+    bool answered(std::uint64_t newest);
 
     wire::event_loop& loop;
     table_store& store;
--- a/libs/gateway/src/table_watch.cpp
+++ b/libs/gateway/src/table_watch.cpp
@@ -48,6 +48,17 @@
     this->loop.call_after(pause, [this] { this->has_content ? this->watch() : this->read(); });
 }
 
+/// The store has answered again, or still does.
+bool table_watch::answered(std::uint64_t newest) {
+    const bool after_outage = this->failures > 0;
+    if (after_outage) {
+        telemetry::log_info(this->log, "store_watch_regained",
+                            {{"table", this->table}, {"version", newest}});
+    }
+    this->failures = 0;
+    return after_outage;
+}
+
 void table_watch::read() {
     this->store.read(this->table, [this](result<table_content> answer) {
         if (!answer) {
@@ -56,12 +67,7 @@
             this->failed(answer.error());
             return;
         }
-        const bool after_outage = this->failures > 0;
-        if (after_outage) {
-            telemetry::log_info(this->log, "store_watch_regained",
-                                {{"table", this->table}, {"version", answer->version}});
-        }
-        this->failures = 0;
+        const bool after_outage = this->answered(answer->version);
         this->has_content = true;
         this->version = answer->version;
         this->handler({std::move(*answer), true, after_outage});
@@ -75,12 +81,7 @@
             this->failed(answer.error());
             return;
         }
-        const bool after_outage = this->failures > 0;
-        if (after_outage) {
-            telemetry::log_info(this->log, "store_watch_regained",
-                                {{"table", this->table}, {"version", answer->version}});
-        }
-        this->failures = 0;
+        const bool after_outage = this->answered(answer->version);
         this->version = std::max(this->version, answer->version);
         const bool changed = !answer->rows.empty();
         if (changed) {
--- a/libs/ranges/include/ranges/lease_keeper.h
+++ b/libs/ranges/include/ranges/lease_keeper.h
@@ -122,8 +122,6 @@
 
     /// A server answered an order with a higher fence than this coordinator's.
     bool outranked() const { return this->seen_higher_fence; }
-    /// Ranges without a confirmed owner.
-    std::size_t unowned() const;
     range_table table() const;
     /// Where requests may be sent: `table` without the owners that have no grant yet or lose the
     /// keys; their place is taken by a life without an id.
@@ -176,7 +174,8 @@
     bool ended_by_refusals(lease& one, time_point now) const;
     void merge_neighbours(time_point now);
     std::map<server_life, double> loads(const key_load& load) const;
-    const candidate* least_loaded(const std::map<server_life, double>& sums, double added) const;
+    double accepting_weight() const;
+    const candidate* least_loaded(const std::map<server_life, double>& sums) const;
     void assign_free(std::vector<lease>& planned, const key_load& load) const;
     bool balance_once(const key_load& load, time_point now);
     lease* cut(lease_id id, double wanted, const key_load& load);
--- a/libs/ranges/src/lease_keeper.cpp
+++ b/libs/ranges/src/lease_keeper.cpp
@@ -272,8 +272,15 @@
     return sums;
 }
 
-const candidate* lease_keeper::least_loaded(const std::map<server_life, double>& sums,
-                                            double added) const {
+double lease_keeper::accepting_weight() const {
+    double sum = 0;
+    for (const candidate& one : this->candidates) {
+        sum += one.accepts ? one.weight : 0;
+    }
+    return sum;
+}
+
+const candidate* lease_keeper::least_loaded(const std::map<server_life, double>& sums) const {
     const candidate* best = nullptr;
     double best_ratio = 0;
     for (const candidate& one : this->candidates) {
@@ -281,7 +288,7 @@
         if (!one.accepts || found == sums.end()) {
             continue;
         }
-        const double ratio = (found->second + added) / one.weight;
+        const double ratio = found->second / one.weight;
         if (best == nullptr || ratio < best_ratio) {
             best = &one;
             best_ratio = ratio;
@@ -305,10 +312,7 @@
             return std::nullopt;
         }
         // First assignment: contiguous shares by weight.
-        double total = 0;
-        for (const candidate& one : this->candidates) {
-            total += one.accepts ? one.weight : 0;
-        }
+        const double total = this->accepting_weight();
         double sum = 0;
         key_position first = 0;
         for (const candidate& one : this->candidates) {
@@ -356,11 +360,7 @@
 
 void lease_keeper::assign_free(std::vector<lease>& planned, const key_load& load) const {
     auto sums = this->loads(load);
-    double weights = 0;
-    for (const candidate& one : this->candidates) {
-        weights += one.accepts ? one.weight : 0;
-    }
-    const double share = load.total() / std::max(weights, 1e-9);
+    const double share = load.total() / std::max(this->accepting_weight(), 1e-9);
     std::vector<lease> result;
     for (lease& one : planned) {
         if (one.state != phase::free) {
@@ -381,7 +381,7 @@
                 target = this->find_candidate(*one.destination);
             }
             if (target == nullptr) {
-                target = this->least_loaded(sums, 0);
+                target = this->least_loaded(sums);
                 const double limit = share * target->weight * piece_of_share;
                 double sum = 0;
                 key_position bucket = first / keys_per_bucket;
@@ -505,11 +505,7 @@
 
 bool lease_keeper::balance_once(const key_load& load, time_point now) {
     const auto sums = this->loads(load);
-    double weights = 0;
-    for (const candidate& one : this->candidates) {
-        weights += one.accepts ? one.weight : 0;
-    }
-    const double share = load.total() / std::max(weights, 1e-9);
+    const double share = load.total() / std::max(this->accepting_weight(), 1e-9);
     const auto ratio = [&sums, share](const candidate& one) {
         return sums.at(one.life) / (share * one.weight);
     };
@@ -621,12 +617,6 @@
     return true;
 }
 
-std::size_t lease_keeper::unowned() const {
-    return static_cast<std::size_t>(
-        std::count_if(this->leases.begin(), this->leases.end(),
-                      [](const lease& one) { return one.state != phase::held || !one.confirmed; }));
-}
-
 range_table lease_keeper::routes() const {
     range_table current;
     for (const lease& one : this->leases) {
