Tell hosts of servers through the coordinator; notice the store's return at once

Coordinators kept long leases and hosts thought the store lost long after it was back. - A takeover sent all owners (45 KB) to each host.

Change: answers to reports carry changes of servers since the host's version of the store, with the age of the knowledge; hosts rest their own watch while it is younger than 1.2 s. One watch probes a store that is away, with calls that are answered at once. Owners that the hosts share with a new coordinator are not sent again. Hosts below 0.2 of a core or 100 Mbit/s let others take over for up to 200 ms. Requests without an answer are ended 600 ms before the forced end of the process. A leaving owner's time counts from the earliest time at which it may have said so.

Each test was seen to fail without its mechanism for the return of the store, shared owners and strong hosts; the others cover code that did not exist.

--- a/libs/gateway/include/gateway/front.h
+++ b/libs/gateway/include/gateway/front.h
@@ -72,7 +72,9 @@
     ~front();
 
     void set_catalogue(std::shared_ptr<const catalogue> content);
-    void set_servers(const directory& servers, time_point now);
+    /// @param changed  earliest time at which what is new may have happened: a server that leaves
+    ///                 serves for a limited time from then
+    void set_servers(const directory& servers, time_point changed, time_point now);
     void set_owners(const service_id& service, ranges::range_table owners);
     /// Number of hosts that share the servers.
     void set_hosts(int hosts);
@@ -85,6 +87,9 @@
     std::map<service_id, std::map<server_id, speed_sample>> take_speeds();
     /// Lives of servers that have certainly ended, found since the last call.
     std::vector<ranges::server_life> take_ended();
+    /// Ends all requests without an answer, since this process ends: 503 if it has not run, 504 if
+    /// its outcome is unknown. Answers that wait behind them on their connection are sent.
+    void end_open(time_point now);
     /// Requests that have no answer yet.
     std::size_t open_requests() const;
 
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -33,6 +33,7 @@
     /// Longest lease that a server accepts.
     milliseconds longest_lease{10'000};
     retry_allowance retries;
+    host_power power;
 };
 
 /// How the platform's rows are read.
--- a/libs/gateway/include/gateway/table_watch.h
+++ b/libs/gateway/include/gateway/table_watch.h
@@ -6,10 +6,14 @@
 #include "wire/loop.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace greengagechute::gateway {
 
+/// Below the shortest history of the store, 20 s on the users' platform.
+inline constexpr milliseconds watch_wait{15'000};
+
 /// What a watch learned.
 struct table_update {
     table_content content;
@@ -17,6 +21,8 @@
     bool whole = false;
     /// The store could not be reached just before.
     bool after_outage = false;
+    /// The changes have happened since then.
+    time_point since;
 };
 
 /// Follows a table: reads it whole, then waits for changes.
@@ -30,24 +36,45 @@
 
     void start();
     void set_gather(milliseconds pause) { this->gather = pause; }
+    /// Longest time for which the store keeps a call without a change.
+    void set_wait(milliseconds longest) { this->wait = longest; }
+    /// Makes no further calls while paused, once the table has been read; a call under way still
+    /// delivers what it finds.
+    void set_paused(bool wanted);
+    /// The table up to a version of the store is known from elsewhere.
+    /// @param when  the store had no later version then
+    void skip_to(std::uint64_t known, time_point when);
+    /// When the store last answered; empty if it has not, or has failed since.
+    std::optional<time_point> heard() const {
+        return this->reachable() ? this->last_answer : std::nullopt;
+    }
     bool reachable() const { return this->failures == 0 && this->has_content; }
 
 private:
     void read();
     void watch();
     void failed(const status& error);
-    /// @return  whether the store could not be reached just before
-    bool answered(std::uint64_t newest);
+    /// @return  what is known of the update before its content is passed on
+    table_update answered(std::uint64_t newest);
 
     wire::event_loop& loop;
     table_store& store;
     telemetry::logger& log;
     std::string table;
     milliseconds gather;
+    milliseconds wait;
     update_handler handler;
     std::uint64_t version = 0;
+    std::optional<time_point> last_answer;
+    /// The content was complete then.
+    time_point complete_at;
     int failures = 0;
     bool has_content = false;
+    bool paused = false;
+    /// No call is under way and none is due, because of the pause.
+    bool resting = false;
+    /// No call has been answered since the last pause.
+    bool rested = false;
 };
 
 }  // namespace greengagechute::gateway
--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -98,6 +98,7 @@
     telemetry::logger& log;
     coordinator_settings settings;
     owners_handler owners;
+    servers_handler relayed;
     report_source own_report;
     std::function<void(int)> set_hosts;
     std::mt19937_64 random;
@@ -111,6 +112,8 @@
     std::string identity{};
     bool leading = false;
     bool taking_over = false;
+    /// A takeover is due, if no other host is faster.
+    bool restrained = false;
     bool resigned = false;
     int misses = 0;
     /// Since when the holder of the term answers that it is about to coordinate.
@@ -131,6 +134,11 @@
     /// The last commit was answered.
     bool store_ok = true;
     bool store_reachable = true;
+    std::optional<time_point> servers_heard{};
+    milliseconds gather{0};
+    /// Hosts that know less of the servers than this are told at once.
+    std::uint64_t due_version = 0;
+    bool due_soon = false;
 
     /// Reports that wait for an answer.
     std::vector<kept_report> waiting{};
@@ -138,6 +146,11 @@
     std::map<service_id, ranges::range_table> known_owners{};
     std::map<service_id, std::uint64_t> known_versions{};
     std::uint64_t known_term = 0;
+    /// The same at the time at which this host became the coordinator: other hosts have it as well,
+    /// and need only the changes since.
+    std::map<service_id, ranges::range_table> earlier_owners{};
+    std::map<service_id, std::uint64_t> earlier_versions{};
+    std::uint64_t earlier_term = 0;
 
     std::uint64_t version_of(std::string_view table, const std::string& key) const {
         const auto found = this->rows.find({std::string(table), key});
@@ -156,6 +169,9 @@
     void on_answer(const report_answer& answer);
     void on_not_coordinating(bool pending, time_point now);
     report_answer make_answer(const host_report& report, time_point now) const;
+    bool has_earlier_owners(const host_report& report, const service_id& service) const;
+    bool tells_of_servers(const host_report& report, time_point now) const;
+    bool lacks_news(const host_report& report, time_point now) const;
     void answer_waiting(bool all, time_point now);
     void publish_routes(const service_id& service, time_point now);
     void leader_lost(std::string_view reason);
@@ -175,13 +191,22 @@
     bool is_isolated(time_point now) const;
 };
 
+milliseconds takeover_restraint(const coordinator_settings& settings) {
+    const double least =
+        std::min({1.0, settings.power.processor_share / settings.enough_power.processor_share,
+                  settings.power.link_mbps / settings.enough_power.link_mbps});
+    return milliseconds(
+        std::llround((1.0 - least) * static_cast<double>(settings.longest_restraint.count())));
+}
+
 coordinator::coordinator(wire::event_loop& loop, wire::client& peers, table_store& store,
                          server_orders& orders, const directory& servers, telemetry::logger& log,
                          coordinator_settings settings, owners_handler owners,
-                         report_source reports, std::function<void(int)> hosts, std::uint64_t seed)
+                         servers_handler relayed, report_source reports,
+                         std::function<void(int)> hosts, std::uint64_t seed)
     : implementation(new state{loop, peers, store, orders, servers, log, std::move(settings),
-                               std::move(owners), std::move(reports), std::move(hosts),
-                               std::mt19937_64(seed)}) {
+                               std::move(owners), std::move(relayed), std::move(reports),
+                               std::move(hosts), std::mt19937_64(seed)}) {
     this->implementation->identity = this->implementation->settings.host.value() + "/" +
                                      std::to_string(this->implementation->random());
 }
@@ -309,6 +334,7 @@
     content.term = this->known_term;
     content.at_once = this->misses > 0;
     content.owners = this->known_versions;
+    content.servers = this->servers.version();
     wire::request message;
     message.method = "POST";
     message.target = "/coordination/report";
@@ -367,6 +393,10 @@
         this->known_term = answer.term;
         this->known_versions.clear();
     }
+    if (answer.servers) {
+        // Before the owners, which may name new servers.
+        this->relayed(*answer.servers);
+    }
     for (const auto& [service, update] : answer.owners) {
         ranges::range_table& known = this->known_owners[service];
         if (update.whole) {
@@ -399,13 +429,26 @@
 }
 
 void coordinator::state::leader_lost(std::string_view reason) {
-    if (this->leading || this->taking_over || this->resigned || !this->table_loaded ||
-        !this->servers.loaded()) {
+    if (this->leading || this->taking_over || this->restrained || this->resigned ||
+        !this->table_loaded || !this->servers.loaded()) {
         return;
     }
+    const std::uint64_t lost = this->term ? this->term->number : 0;
+    const milliseconds restraint = takeover_restraint(this->settings);
     telemetry::log_info(this->log, "coordinator_lost",
-                        {{"reason", reason}, {"term", this->term ? this->term->number : 0}});
-    this->take_over();
+                        {{"reason", reason}, {"term", lost}, {"restraint", restraint}});
+    if (restraint == milliseconds{0}) {
+        this->take_over();
+        return;
+    }
+    this->restrained = true;
+    this->loop.call_after(restraint, [this, lost] {
+        this->restrained = false;
+        const std::uint64_t present = this->term ? this->term->number : 0;
+        if (!this->leading && !this->taking_over && !this->resigned && present == lost) {
+            this->take_over();
+        }
+    });
 }
 
 /// Reads the term first, where what is known of it may be old.
@@ -480,6 +523,9 @@
     }
     const time_point now = wire::event_loop::now();
     this->leading = true;
+    this->earlier_owners = this->known_owners;
+    this->earlier_versions = std::exchange(this->known_versions, {});
+    this->earlier_term = std::exchange(this->known_term, 0);
     this->kept.clear();
     this->reports.clear();
     this->last_tick = now;
@@ -806,6 +852,12 @@
         return answer;
     }
     answer.term = this->term->number;
+    if (this->tells_of_servers(report, now)) {
+        answer.servers = this->servers.changes_since(report.servers, now);
+        if (answer.servers) {
+            answer.servers->age = std::chrono::ceil<milliseconds>(now - *this->servers_heard);
+        }
+    }
     for (const auto& [service, own] : this->kept) {
         const auto has = report.owners.find(service);
         const std::uint64_t version =
@@ -816,6 +868,10 @@
         owners_update& update = answer.owners[service];
         update.version = own.version;
         const std::uint64_t missing = own.version - std::min(version, own.version);
+        if (this->has_earlier_owners(report, service)) {
+            update.ranges = ranges::changes_between(this->earlier_owners.at(service), own.routes);
+            continue;
+        }
         if (version == 0 || version > own.version || missing > own.history.size()) {
             update.whole = true;
             update.ranges = own.routes.ranges;
@@ -842,15 +898,42 @@
     return answer;
 }
 
-/// Answers the reports that lack owners or have waited long enough.
+/// Whether the host has the owners that this host had when it became the coordinator.
+bool coordinator::state::has_earlier_owners(const host_report& report,
+                                            const service_id& service) const {
+    const auto theirs = report.owners.find(service);
+    const auto ours = this->earlier_versions.find(service);
+    return report.term == this->earlier_term && theirs != report.owners.end() &&
+           ours != this->earlier_versions.end() && theirs->second == ours->second;
+}
+
+/// Whether what is known here of the servers is new enough to pass on.
+bool coordinator::state::tells_of_servers(const host_report& report, time_point now) const {
+    return report.servers != 0 && this->servers_heard &&
+           now - *this->servers_heard < this->settings.relay_lapse;
+}
+
+/// Whether owners have changed since the host's last report, or servers long enough ago.
+bool coordinator::state::lacks_news(const host_report& report, time_point now) const {
+    if (report.servers < this->due_version && this->tells_of_servers(report, now)) {
+        return true;
+    }
+    return std::any_of(this->kept.begin(), this->kept.end(), [this, &report](const auto& entry) {
+        const auto has = report.owners.find(entry.first);
+        const std::uint64_t version =
+            report.term == this->term->number && has != report.owners.end() ? has->second : 0;
+        return entry.second.version != 0 && version != entry.second.version;
+    });
+}
+
+/// Answers the reports that lack news or have waited long enough.
 void coordinator::state::answer_waiting(bool all, time_point now) {
     std::vector<kept_report> kept_on;
     std::vector<std::pair<answer_handler, report_answer>> answers;
     for (kept_report& one : this->waiting) {
-        report_answer answer = this->make_answer(one.report, now);
-        if (all || now >= one.until || !answer.owners.empty() ||
-            (!answer.coordinating && !answer.pending)) {
-            answers.emplace_back(std::move(one.answer), std::move(answer));
+        const bool waits = this->leading ? !this->lacks_news(one.report, now) : this->taking_over;
+        if (all || now >= one.until || !waits) {
+            answers.emplace_back(std::move(one.answer), this->make_answer(one.report, now));
         } else {
             kept_on.push_back(std::move(one));
         }
@@ -870,6 +953,25 @@
     for (const auto& [id, entry] : own.servers.servers()) {
         own.addresses[id] = entry.address;
     }
+    if (!own.leading || own.due_soon || own.servers.version() <= own.due_version ||
+        own.gather >= own.settings.report_kept) {
+        // Kept reports are answered before long.
+        return;
+    }
+    own.due_soon = true;
+    own.loop.call_after(own.gather, [&own] {
+        own.due_soon = false;
+        own.due_version = own.servers.version();
+        own.answer_waiting(false, wire::event_loop::now());
+    });
+}
+
+void coordinator::set_servers_heard(std::optional<time_point> when) {
+    this->implementation->servers_heard = when;
+}
+
+void coordinator::set_gather(milliseconds pause) {
+    this->implementation->gather = pause;
 }
 
 void coordinator::on_report(const host_report& report, answer_handler answer, time_point now) {
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -12,6 +12,7 @@
 #include <random>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace greengagechute::gateway {
@@ -226,7 +227,7 @@
     std::map<service_id, std::map<server_id, speed_sample>> speeds;
     std::vector<ranges::server_life> ended;
     int hosts = 1;
-    std::size_t open = 0;
+    std::unordered_set<exchange_handle> open;
     telemetry::counter accepted_count;
     telemetry::counter answered_count;
     telemetry::counter refused_count;
@@ -286,7 +287,7 @@
     void refuse(const exchange_handle& one, gateway_errc reason, time_point now);
     void fail(const exchange_handle& one, int status, gateway_errc reason, time_point now);
     void answer(const exchange_handle& one, wire::response message);
-    void expire(const exchange_handle& one);
+    void expire(const exchange_handle& one, time_point now);
     void leave(const exchange_handle& one);
     void detach(const exchange_handle& one);
     void reply_at_once(const std::shared_ptr<wire::incoming>& request, int status,
@@ -308,7 +309,7 @@
                                {},
                                {},
                                1,
-                               0,
+                               {},
                                {},
                                {},
                                {},
@@ -346,10 +347,10 @@
 }
 
 std::size_t front::open_requests() const {
-    return this->implementation->open;
+    return this->implementation->open.size();
 }
 
-void front::set_servers(const directory& servers, time_point now) {
+void front::set_servers(const directory& servers, time_point changed, time_point now) {
     state& own = *this->implementation;
     for (auto& [id, service] : own.services) {
         std::erase_if(service.servers, [&servers](const auto& known) {
@@ -365,7 +366,7 @@
             server.appeared = now;
         }
         if (entry.draining && !server.entry.draining) {
-            server.leaving_since = now;
+            server.leaving_since = changed;
         }
         server.entry = entry;
         server.doubtful = servers.is_awaited(id);
@@ -408,6 +409,14 @@
     return std::exchange(this->implementation->ended, {});
 }
 
+void front::end_open(time_point now) {
+    const std::vector<exchange_handle> ended(this->implementation->open.begin(),
+                                             this->implementation->open.end());
+    for (const exchange_handle& one : ended) {
+        this->implementation->expire(one, now);
+    }
+}
+
 void front::accept(const std::shared_ptr<wire::incoming>& request) {
     this->implementation->accept(request);
 }
@@ -494,11 +503,11 @@
     request->message().keep_alive = one->message.keep_alive;
     wire::remove_connection_headers(one->message.headers);
     wire::remove_header(one->message.headers, this->names.expected_server);
-    ++this->open;
+    this->open.insert(one);
     request->on_left([this, one] { this->leave(one); });
     one->expiry = this->loop.call_after(
         std::chrono::ceil<milliseconds>(one->give_up - wire::event_loop::now()),
-        [this, one] { this->expire(one); });
+        [this, one] { this->expire(one, wire::event_loop::now()); });
     if (chosen->kind == request_kind::unsafe && !request->is_first()) {
         // An earlier answer may close the connection, and the caller then sends this one again.
         request->on_first([this, one] { this->begin(one); });
@@ -1063,7 +1072,7 @@
         return;
     }
     one->done = true;
-    --this->open;
+    this->open.erase(one);
     this->loop.cancel(one->expiry);
     const time_point now = wire::event_loop::now();
     this->request_time.observe(std::chrono::duration_cast<microseconds>(now - one->arrived));
@@ -1091,12 +1100,11 @@
     caller->answer(std::move(message));
 }
 
-/// The caller or the route waits no longer.
-void front::state::expire(const exchange_handle& one) {
+/// The caller or the route waits no longer, or this process ends.
+void front::state::expire(const exchange_handle& one, time_point now) {
     if (one->done) {
         return;
     }
-    const time_point now = wire::event_loop::now();
     if (one->in_flight) {
         this->detach(one);
         this->upstreams.cancel(one->call);
@@ -1118,7 +1126,7 @@
         return;
     }
     one->done = true;
-    --this->open;
+    this->open.erase(one);
     this->left_count.add();
     this->loop.cancel(one->expiry);
     const time_point now = wire::event_loop::now();
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -4,6 +4,7 @@
 #include "gateway/table_watch.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace greengagechute::gateway {
@@ -16,10 +17,15 @@
 constexpr milliseconds least_gather{80};
 constexpr milliseconds most_gather{700};
 constexpr milliseconds gather_none{0};
+/// The coordinator asks the store this often whether the servers have changed, since other hosts
+/// depend on its answer: twice in the time after which they do not any more.
+constexpr milliseconds coordinator_wait{500};
 /// The platform sends new callers until it has missed two answers, one a second.
 constexpr milliseconds callers_stop{2'500};
 constexpr milliseconds drain_poll{50};
-/// Kept for the last answers to leave.
+/// Requests are ended this long before the forced end of the process, and the process ends after
+/// the last answers have left.
+constexpr milliseconds answer_margin{600};
 constexpr milliseconds end_margin{400};
 constexpr milliseconds expire_every{50};
 /// Of the schema in docs/logs.md; raised when a field changes its meaning or goes.
@@ -53,9 +59,17 @@
     wire::server ready_server;
     wire::server peer_server;
     std::shared_ptr<const catalogue> config;
+    /// The directory was complete then.
+    time_point servers_as_of;
+    /// Until then the coordinator's answers tell of the servers.
+    time_point relayed_until;
+    milliseconds relay_lapse = coordinator_settings{}.relay_lapse;
+    /// Empty until the store has been reached.
+    std::optional<bool> store_reachable;
     bool draining = false;
     time_point drain_began;
     bool reading_stopped = false;
+    bool ended_open = false;
 
     state(wire::event_loop& owner_loop, table_store& store, server_orders& orders,
           telemetry::logger& logger, telemetry::metrics& metrics, const row_format& rows,
@@ -76,6 +90,7 @@
               [this](const service_id& service, ranges::range_table table) {
                   this->requests.set_owners(service, std::move(table));
               },
+              [this](const directory_update& update) { this->on_relayed(update); },
               [this] {
                   host_report seen;
                   seen.keys = this->requests.take_keys();
@@ -85,8 +100,11 @@
               },
               [this](int hosts) {
                   this->requests.set_hosts(hosts);
-                  this->server_watch.set_gather(
-                      std::clamp(hosts * gather_per_host, least_gather, most_gather));
+                  const milliseconds gather =
+                      std::clamp(hosts * gather_per_host, least_gather, most_gather);
+                  this->ownership.set_gather(gather);
+                  this->server_watch.set_gather(this->ownership.coordinating() ? least_gather
+                                                                               : gather);
               },
               seed + 1),
           catalogue_watch(owner_loop, store, logger, rows.catalogue_table, gather_none,
@@ -123,6 +141,7 @@
         coordinator_settings made;
         made.host = initial.host;
         made.address = initial.peers;
+        made.power = initial.power;
         made.keeper.hold = std::min(made.keeper.hold, initial.longest_lease);
         made.keeper.outage_hold = std::min(made.keeper.outage_hold, initial.longest_lease);
         return made;
@@ -169,7 +188,6 @@
     void on_servers(const table_update& update) {
         const time_point now = wire::event_loop::now();
         std::vector<server_change> changes;
-        std::vector<server_entry> entries;
         for (const stored_row& row : update.content.rows) {
             std::optional<server_entry> entry;
             if (!row.removed) {
@@ -180,29 +198,71 @@
                                            {{"server", row.key}, {"reason", reason}});
                 }
             }
-            if (!update.whole) {
-                telemetry::log_info(this->log, "server_changed",
-                                    {{"server", row.key},
-                                     {"present", entry.has_value()},
-                                     {"draining", entry && entry->draining},
-                                     {"born", entry ? entry->life.born : 0},
-                                     {"version", row.version}});
-            }
-            if (entry) {
-                entries.push_back(*entry);
-            }
-            changes.push_back({server_id(row.key), std::move(entry)});
+            const std::uint64_t version = row.version != 0 ? row.version : update.content.version;
+            changes.push_back({server_id(row.key), std::move(entry), version});
+        }
+        if (update.after_outage) {
+            this->servers.note_regained(now);
         }
         if (update.whole) {
-            this->servers.replace(entries, update.after_outage, now);
+            this->servers.replace(changes, update.content.version, now);
         } else {
-            this->servers.apply(changes, update.after_outage, now);
+            this->log_changes(changes, "store");
+            this->servers.apply(changes, update.content.version, now);
+        }
+        this->servers_as_of = now;
+        this->servers_changed(update.since, now);
+    }
+
+    /// The coordinator tells of the servers.
+    void on_relayed(const directory_update& update) {
+        const time_point now = wire::event_loop::now();
+        const time_point as_of = now - update.age;
+        this->relayed_until = as_of + this->relay_lapse;
+        this->log_changes(update.changes, "coordinator");
+        this->servers.apply(update, now);
+        this->server_watch.skip_to(update.version, as_of);
+        const time_point before = std::exchange(this->servers_as_of, as_of);
+        if (!update.changes.empty()) {
+            this->servers_changed(before, now);
         }
-        this->servers_changed(now);
     }
 
-    void servers_changed(time_point now) {
-        this->requests.set_servers(this->servers, now);
+    void log_changes(const std::vector<server_change>& changes, std::string_view source) {
+        for (const server_change& change : changes) {
+            telemetry::log_info(this->log, "server_changed",
+                                {{"server", change.id.value()},
+                                 {"present", change.entry.has_value()},
+                                 {"draining", change.entry && change.entry->draining},
+                                 {"born", change.entry ? change.entry->life.born : 0},
+                                 {"version", change.version},
+                                 {"source", source}});
+        }
+    }
+
+    /// Calls to the store grow with the hosts that follow the servers in it: only the coordinator
+    /// does, and hosts that it does not tell of them. While the store is away, one watch looks for
+    /// its return.
+    void choose_source(time_point now) {
+        const bool relayed = !this->ownership.coordinating() && now < this->relayed_until;
+        const bool reachable = this->term_watch.reachable();
+        if (reachable && this->store_reachable == false) {
+            // The watch of the servers may not have seen the outage.
+            this->servers.note_regained(now);
+        }
+        if (reachable || this->store_reachable) {
+            this->store_reachable = reachable;
+        }
+        const bool away = this->store_reachable == false;
+        this->catalogue_watch.set_paused(away);
+        this->server_watch.set_paused(relayed || away);
+        this->server_watch.set_wait(this->ownership.coordinating() ? coordinator_wait : watch_wait);
+        this->ownership.set_servers_heard(relayed ? std::nullopt : this->server_watch.heard());
+    }
+
+    /// @param changed  earliest time at which the changes may have happened
+    void servers_changed(time_point changed, time_point now) {
+        this->requests.set_servers(this->servers, changed, now);
         this->ownership.on_servers();
     }
 
@@ -210,8 +270,9 @@
         const time_point now = wire::event_loop::now();
         this->log.flush();
         this->ownership.set_store_reachable(this->term_watch.reachable());
+        this->choose_source(now);
         if (this->servers.expire(now)) {
-            this->servers_changed(now);
+            this->servers_changed(now, now);
         }
         this->loop.call_after(expire_every, [this] { this->expire_servers(); });
     }
@@ -248,6 +309,10 @@
             this->reading_stopped = true;
             this->front_server.stop_reading();
         }
+        if (since > this->settings.grace - answer_margin && !this->ended_open) {
+            this->ended_open = true;
+            this->requests.end_open(wire::event_loop::now());
+        }
         if ((since > callers_stop && answered && this->front_server.close_idle()) ||
             since > this->settings.grace - end_margin) {
             telemetry::log_info(this->log, "stopped",
--- a/libs/gateway/src/reports.cpp
+++ b/libs/gateway/src/reports.cpp
@@ -3,12 +3,88 @@
 #include <nlohmann/json.hpp>
 
 #include <cmath>
+#include <utility>
 
 namespace greengagechute::gateway {
 
 namespace {
 
 constexpr double hundredths = 100.0;
+/// Fields of a server that has left, and of one that is there.
+constexpr std::size_t removal_fields = 2;
+constexpr std::size_t entry_fields = 10;
+
+nlohmann::json encoded(const server_change& change) {
+    nlohmann::json fields = {change.id.value(), change.version};
+    if (change.entry) {
+        const server_entry& entry = *change.entry;
+        fields.push_back(entry.life.born);
+        fields.push_back(entry.service.value());
+        fields.push_back(entry.address.ip);
+        fields.push_back(entry.address.port);
+        fields.push_back(entry.data_centre.value());
+        fields.push_back(entry.slots);
+        fields.push_back(entry.draining);
+        fields.push_back(entry.warmup_left.count());
+    }
+    return fields;
+}
+
+std::optional<server_change> decoded(const nlohmann::json& fields) {
+    if (!fields.is_array() || fields.size() < removal_fields || !fields[0].is_string() ||
+        !fields[1].is_number_unsigned()) {
+        return std::nullopt;
+    }
+    server_change change;
+    change.id = server_id(fields[0].get<std::string>());
+    change.version = fields[1].get<std::uint64_t>();
+    if (fields.size() == removal_fields) {
+        return change;
+    }
+    constexpr std::uint64_t last_port = 65'535;
+    if (fields.size() != entry_fields || !fields[2].is_number_unsigned() ||
+        !fields[3].is_string() || !fields[4].is_string() || !fields[5].is_number_unsigned() ||
+        fields[5].get<std::uint64_t>() > last_port || !fields[6].is_string() ||
+        !fields[7].is_number_unsigned() || !fields[8].is_boolean() ||
+        !fields[9].is_number_unsigned()) {
+        return std::nullopt;
+    }
+    server_entry entry;
+    entry.life = {change.id, fields[2].get<std::uint64_t>()};
+    entry.service = service_id(fields[3].get<std::string>());
+    entry.address = {fields[4].get<std::string>(), fields[5].get<std::uint16_t>()};
+    entry.data_centre = data_centre_id(fields[6].get<std::string>());
+    entry.slots = fields[7].get<int>();
+    entry.draining = fields[8].get<bool>();
+    entry.warmup_left = milliseconds(fields[9].get<std::int64_t>());
+    change.entry = std::move(entry);
+    return change;
+}
+
+bool decode_servers(const nlohmann::json& parsed, directory_update& update) {
+    if (!parsed.is_object() || !parsed.contains("version") ||
+        !parsed["version"].is_number_unsigned() || !parsed.contains("changes") ||
+        !parsed["changes"].is_array() || !parsed.contains("age") ||
+        !parsed["age"].is_number_unsigned()) {
+        return false;
+    }
+    update.age = milliseconds(parsed["age"].get<std::int64_t>());
+    update.version = parsed["version"].get<std::uint64_t>();
+    if (parsed.contains("regained_before")) {
+        if (!parsed["regained_before"].is_number_unsigned()) {
+            return false;
+        }
+        update.regained_before = milliseconds(parsed["regained_before"].get<std::int64_t>());
+    }
+    for (const nlohmann::json& fields : parsed["changes"]) {
+        auto change = decoded(fields);
+        if (!change) {
+            return false;
+        }
+        update.changes.push_back(std::move(*change));
+    }
+    return true;
+}
 
 }  // namespace
 
@@ -19,6 +95,9 @@
     if (report.at_once) {
         text["at_once"] = true;
     }
+    if (report.servers != 0) {
+        text["servers"] = report.servers;
+    }
     for (const auto& [service, version] : report.owners) {
         text["owners"][service.value()] = version;
     }
@@ -63,6 +142,9 @@
                       : 0;
     report.at_once = parsed.contains("at_once") && parsed["at_once"].is_boolean() &&
                      parsed["at_once"].get<bool>();
+    report.servers = parsed.contains("servers") && parsed["servers"].is_number_unsigned()
+                         ? parsed["servers"].get<std::uint64_t>()
+                         : 0;
     if (parsed.contains("owners") && parsed["owners"].is_object()) {
         for (const auto& [service, version] : parsed["owners"].items()) {
             if (!version.is_number_unsigned()) {
@@ -110,6 +192,18 @@
     text["has_store"] = answer.has_store;
     text["hosts"] = answer.hosts;
     text["term"] = answer.term;
+    if (answer.servers) {
+        nlohmann::json& written = text["servers"];
+        written["version"] = answer.servers->version;
+        written["age"] = answer.servers->age.count();
+        if (answer.servers->regained_before) {
+            written["regained_before"] = answer.servers->regained_before->count();
+        }
+        written["changes"] = nlohmann::json::array();
+        for (const server_change& change : answer.servers->changes) {
+            written["changes"].push_back(encoded(change));
+        }
+    }
     for (const auto& [service, update] : answer.owners) {
         nlohmann::json& written = text["owners"][service.value()];
         written["version"] = update.version;
@@ -172,6 +266,10 @@
     answer.term = parsed.contains("term") && parsed["term"].is_number_unsigned()
                       ? parsed["term"].get<std::uint64_t>()
                       : 0;
+    if (parsed.contains("servers") &&
+        !decode_servers(parsed["servers"], answer.servers.emplace())) {
+        return false;
+    }
     if (parsed.contains("owners") && parsed["owners"].is_object()) {
         for (const auto& [service, update] : parsed["owners"].items()) {
             if (!decode_update(update, answer.owners[service_id(service)])) {
--- a/libs/gateway/src/table_watch.cpp
+++ b/libs/gateway/src/table_watch.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-/// Below the shortest history of the store, 20 s on the users' platform.
-constexpr milliseconds watch_wait{15'000};
+/// After a failure the store is asked to answer at once, so that its return is noticed although the
+/// table does not change.
+constexpr milliseconds probe_wait{0};
 constexpr milliseconds first_retry{150};
 /// Half of the time in which a change must be in force.
 constexpr milliseconds last_retry{600};
@@ -24,6 +25,7 @@
       log(logger),
       table(std::move(name)),
       gather(gather_time),
+      wait(watch_wait),
       handler(std::move(on_update)) {}
 
 void table_watch::start() {
@@ -49,14 +51,20 @@
 }
 
 /// The store has answered again, or still does.
-bool table_watch::answered(std::uint64_t newest) {
-    const bool after_outage = this->failures > 0;
-    if (after_outage) {
+table_update table_watch::answered(std::uint64_t newest) {
+    const time_point now = wire::event_loop::now();
+    table_update update;
+    update.after_outage = this->failures > 0;
+    update.since = this->rested ? this->complete_at : now;
+    if (update.after_outage) {
         telemetry::log_info(this->log, "store_watch_regained",
                             {{"table", this->table}, {"version", newest}});
     }
     this->failures = 0;
-    return after_outage;
+    this->last_answer = now;
+    this->complete_at = now;
+    this->rested = false;
+    return update;
 }
 
 void table_watch::read() {
@@ -67,25 +75,47 @@
             this->failed(answer.error());
             return;
         }
-        const bool after_outage = this->answered(answer->version);
+        table_update update = this->answered(answer->version);
         this->has_content = true;
         this->version = answer->version;
-        this->handler({std::move(*answer), true, after_outage});
+        update.whole = true;
+        update.content = std::move(*answer);
+        this->handler(update);
         this->loop.call_after(this->gather, [this] { this->watch(); });
     });
 }
 
+void table_watch::set_paused(bool wanted) {
+    this->paused = wanted;
+    if (!wanted && this->resting) {
+        this->resting = false;
+        this->watch();
+    }
+}
+
+void table_watch::skip_to(std::uint64_t known, time_point when) {
+    this->version = std::max(this->version, known);
+    this->complete_at = std::max(this->complete_at, when);
+}
+
 void table_watch::watch() {
-    this->store.watch(this->table, this->version, watch_wait, [this](result<table_content> answer) {
+    if (this->paused) {
+        this->resting = true;
+        this->rested = true;
+        return;
+    }
+    const milliseconds longest = this->failures > 0 ? probe_wait : this->wait;
+    this->store.watch(this->table, this->version, longest, [this](result<table_content> answer) {
         if (!answer) {
             this->failed(answer.error());
             return;
         }
-        const bool after_outage = this->answered(answer->version);
+        table_update update = this->answered(answer->version);
         this->version = std::max(this->version, answer->version);
         const bool changed = !answer->rows.empty();
         if (changed) {
-            this->handler({std::move(*answer), false, after_outage});
+            update.content = std::move(*answer);
+            this->handler(update);
         }
         this->loop.call_after(changed ? this->gather : milliseconds{0}, [this] { this->watch(); });
     });
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -3,6 +3,7 @@
 #include "gateway/catalogue.h"
 #include "gateway/coordinator.h"
 #include "gateway/directory.h"
+#include "gateway/errors.h"
 #include "gateway/front.h"
 #include "gateway/table_watch.h"
 
@@ -75,6 +76,25 @@
     asked->answer(std::move(message));
 }
 
+/// Writes bytes on one connection and collects what comes back.
+class raw_caller {
+public:
+    raw_caller(wire::event_loop& loop, std::uint16_t port, const std::string& bytes) {
+        wire::stream_handlers handlers;
+        handlers.data = [this](std::string_view part) { this->received += part; };
+        this->opened = wire::stream::connect(loop, {"127.0.0.1", port}, std::move(handlers));
+        this->opened->write(bytes);
+    }
+    raw_caller(const raw_caller&) = delete;
+    raw_caller& operator=(const raw_caller&) = delete;
+    ~raw_caller() { this->opened->close(); }
+
+    std::string received;
+
+private:
+    std::shared_ptr<wire::stream> opened;
+};
+
 /// A front with a plain service `plain` and a divided one `keys`.
 struct fixture {
     wire::event_loop loop;
@@ -127,8 +147,8 @@
         entry_of_server.address = address;
         entry_of_server.data_centre = gg::data_centre_id("dc");
         entry_of_server.slots = 2;
-        this->servers.apply({{gg::server_id(id), entry_of_server}}, false, wire::event_loop::now());
-        this->front->set_servers(this->servers, wire::event_loop::now());
+        this->servers.apply({{gg::server_id(id), entry_of_server}}, 0, wire::event_loop::now());
+        this->front->set_servers(this->servers, wire::event_loop::now(), wire::event_loop::now());
     }
 
     void own(const std::string& id) {
@@ -234,19 +254,20 @@
     explicit memory_store(wire::event_loop& own_loop) : loop(own_loop) {}
 
     void read(const std::string& table, content_handler done) override {
-        this->after([this, table, done = std::move(done)] { done(this->changes(table, 0)); });
+        ++this->reads;
+        this->after([this, table, done = std::move(done)] {
+            if (this->away) {
+                done(make_error_code(gateway::gateway_errc::store_unavailable));
+                return;
+            }
+            done(this->changes(table, 0));
+        });
     }
 
-    void watch(const std::string& table, std::uint64_t after_version, gg::milliseconds,
+    void watch(const std::string& table, std::uint64_t after_version, gg::milliseconds wait,
                content_handler done) override {
-        this->after([this, table, after_version, done = std::move(done)] {
-            auto content = this->changes(table, after_version);
-            if (content.rows.empty()) {
-                this->watch(table, after_version, {}, done);
-            } else {
-                done(std::move(content));
-            }
-        });
+        ++this->watches;
+        this->look(table, after_version, wire::event_loop::now() + wait, std::move(done));
     }
 
     void commit(const std::vector<gateway::stored_row>& expected,
@@ -273,13 +294,39 @@
         });
     }
 
+    /// Writes one row at once.
+    void put(const std::string& table, const std::string& key, const std::string& value) {
+        ++this->version;
+        this->stored[{table, key}] = {table, key, value, this->version};
+    }
+
     gg::milliseconds delay{1};
+    /// Reads and watches fail.
+    bool away = false;
+    int reads = 0;
+    int watches = 0;
     bool lose_answers = false;
     /// Commits are refused, and nothing is done.
     bool rejects = false;
     int commits = 0;
 
 private:
+    void look(const std::string& table, std::uint64_t after_version, gg::time_point until,
+              content_handler done) {
+        this->after([this, table, after_version, until, done = std::move(done)] {
+            if (this->away) {
+                done(make_error_code(gateway::gateway_errc::store_unavailable));
+                return;
+            }
+            auto content = this->changes(table, after_version);
+            if (content.rows.empty() && wire::event_loop::now() < until) {
+                this->look(table, after_version, until, done);
+            } else {
+                done(std::move(content));
+            }
+        });
+    }
+
     /// Half of the time passes before the call is carried out.
     void after(std::function<void()> action) {
         this->loop.call_after(this->delay / 2, [this, action = std::move(action)] {
@@ -362,7 +409,8 @@
 /// The coordinator part of one host, reachable by the others.
 struct coordinating_host {
     coordinating_host(wire::event_loop& loop, memory_store& store, obedient_servers& orders,
-                      gg::telemetry::logger& log, const gateway::directory& servers, int number)
+                      gg::telemetry::logger& log, const gateway::directory& servers, int number,
+                      const gateway::host_power& power)
         : links(store, orders),
           peers(loop, {}),
           server(loop, [this](const std::shared_ptr<wire::incoming>& asked) {
@@ -373,7 +421,10 @@
               BOOST_REQUIRE(decode(asked->message().body, report));
               this->part->on_report(
                   report,
-                  [asked](const gateway::report_answer& answer) {
+                  [this, asked](const gateway::report_answer& answer) {
+                      for (const auto& [service, update] : answer.owners) {
+                          this->whole_tables += update.whole ? 1 : 0;
+                      }
                       wire::response reply;
                       reply.code = 200;
                       reply.body = encode(answer);
@@ -385,11 +436,13 @@
         gateway::coordinator_settings settings;
         settings.host = gg::host_id("host-" + std::to_string(number));
         settings.address = {"127.0.0.1", this->server.port()};
+        settings.power = power;
         this->part = std::make_unique<gateway::coordinator>(
             loop, this->peers, this->links, this->links, servers, log, settings,
             [this](const gg::service_id&, ranges::range_table table) {
                 this->owners = std::move(table);
             },
+            [this](const gateway::directory_update& update) { this->relayed.push_back(update); },
             [] { return gateway::host_report{}; }, [](int) {}, static_cast<std::uint64_t>(number));
         auto content = std::make_shared<gateway::catalogue>();
         content->version = 1;
@@ -410,6 +463,9 @@
     std::unique_ptr<gateway::coordinator> part;
     std::unique_ptr<gateway::table_watch> term;
     ranges::range_table owners;
+    std::vector<gateway::directory_update> relayed;
+    /// Whole tables of owners that this host has sent.
+    int whole_tables = 0;
 };
 
 /// Several hosts over one store, and two servers with keys.
@@ -425,21 +481,26 @@
         gg::telemetry::logger_options options;
         options.minimum = gg::telemetry::level::error;
         this->log = *gg::telemetry::logger::create(options);
-        std::vector<gateway::server_entry> entries;
+        std::vector<gateway::server_change> entries;
         for (const char* id : {"a", "b"}) {
             gateway::server_entry entry;
             entry.life = {gg::server_id(id), 1};
             entry.service = gg::service_id("keys");
             entry.address = {"127.0.0.1", static_cast<std::uint16_t>(1 + entries.size())};
-            entries.push_back(entry);
+            entries.push_back({entry.life.id, entry, 1});
         }
-        this->servers.replace(entries, false, wire::event_loop::now());
+        this->servers.replace(entries, 1, wire::event_loop::now());
+    }
+
+    void add_host(const gateway::host_power& power) {
+        this->hosts.push_back(std::make_unique<coordinating_host>(
+            this->loop, this->store, this->orders, *this->log, this->servers,
+            static_cast<int>(this->hosts.size()), power));
     }
 
     void add_hosts(int count) {
         for (int number = 0; number < count; ++number) {
-            this->hosts.push_back(std::make_unique<coordinating_host>(
-                this->loop, this->store, this->orders, *this->log, this->servers, number));
+            this->add_host({});
         }
     }
 
@@ -496,19 +557,94 @@
     gateway::directory servers{gateway::directory_settings{}};
     gateway::server_entry entry;
     entry.life = {gg::server_id("s"), 1};
-    servers.replace({entry}, false, start);
-    servers.replace({}, true, start + 10s);
+    servers.replace({{entry.life.id, entry, 1}}, 1, start);
+    servers.note_regained(start + 10s);
+    servers.replace({}, 2, start + 10s);
     BOOST_TEST(servers.is_awaited(gg::server_id("s")));
     BOOST_TEST(!servers.expire(start + 11s));
     BOOST_TEST((servers.find(gg::server_id("s")) != nullptr));
     BOOST_TEST(servers.expire(start + 12s));
     BOOST_TEST((servers.find(gg::server_id("s")) == nullptr));
 
-    servers.replace({entry}, false, start + 20s);
-    servers.apply({{gg::server_id("s"), std::nullopt}}, false, start + 21s);
+    servers.replace({{entry.life.id, entry, 3}}, 3, start + 20s);
+    servers.apply({{gg::server_id("s"), std::nullopt, 4}}, 4, start + 21s);
     BOOST_TEST((servers.find(gg::server_id("s")) == nullptr));
 }
 
+// Guards against hosts that miss a server's start or end because the coordinator tells them only of
+// what it thinks is new, and against an old message that undoes a newer one.
+BOOST_AUTO_TEST_CASE(changes_of_the_directory_reach_another_one) {
+    const auto entry = [](const std::string& id) {
+        gateway::server_entry made;
+        made.life = {gg::server_id(id), 1};
+        made.warmup_left = 3s;
+        return made;
+    };
+    const auto change = [&entry](const std::string& id, std::uint64_t version) {
+        return gateway::server_change{gg::server_id(id), entry(id), version};
+    };
+    gateway::directory first{gateway::directory_settings{}};
+    gateway::directory second{gateway::directory_settings{}};
+    first.replace({change("a", 3), change("b", 5)}, 10, start);
+    second.replace({change("a", 3), change("b", 5)}, 12, start);
+    BOOST_TEST(!first.changes_since(9, start).has_value());
+    // The other directory is ahead.
+    BOOST_REQUIRE(first.changes_since(12, start).has_value());
+    BOOST_TEST(first.changes_since(12, start)->changes.empty());
+
+    first.apply({{gg::server_id("a"), std::nullopt, 14}, change("c", 15)}, 15, start);
+    const auto update = first.changes_since(second.version(), start);
+    BOOST_REQUIRE(update.has_value());
+    BOOST_TEST(update->changes.size() == 2U);
+    second.apply(*update, start);
+    BOOST_TEST(second.version() == 15U);
+    BOOST_TEST((second.find(gg::server_id("a")) == nullptr));
+    BOOST_TEST((second.find(gg::server_id("c")) != nullptr));
+    second.apply({change("a", 3), {gg::server_id("c"), std::nullopt, 13}}, 13, start);
+    BOOST_TEST((second.find(gg::server_id("a")) == nullptr));
+    BOOST_TEST((second.find(gg::server_id("c")) != nullptr));
+
+    // The rest of a warm-up is written with each heartbeat of a new server.
+    gateway::server_change warmer = change("c", 16);
+    warmer.entry->warmup_left = 2s;
+    first.apply({warmer}, 16, start);
+    BOOST_TEST(first.changes_since(15, start)->changes.empty());
+}
+
+// Guards against a host that takes a lapsed entry as gone because the coordinator, not the host
+// itself, has seen the outage of the store.
+BOOST_AUTO_TEST_CASE(lapsed_entries_are_awaited_by_other_hosts_too) {
+    gateway::server_entry entry;
+    entry.life = {gg::server_id("s"), 1};
+    gateway::directory first{gateway::directory_settings{}};
+    gateway::directory second{gateway::directory_settings{}};
+    first.replace({{entry.life.id, entry, 1}}, 1, start);
+    second.replace({{entry.life.id, entry, 1}}, 1, start);
+    first.note_regained(start + 10s);
+    first.apply({{entry.life.id, std::nullopt, 2}}, 2, start + 10s);
+    const auto update = first.changes_since(1, start + 10'500ms);
+    BOOST_REQUIRE(update.has_value());
+    second.apply(*update, start + 10'500ms);
+    BOOST_TEST(second.is_awaited(entry.life.id));
+    BOOST_TEST(!second.expire(start + 11'800ms));
+    BOOST_TEST(second.expire(start + 12s));
+}
+
+// Guards against a directory that forgets removals, and tells another host that it knows all.
+BOOST_AUTO_TEST_CASE(forgotten_removals_are_not_passed_over) {
+    gateway::directory_settings few;
+    few.most_removed = 2;
+    gateway::directory servers{few};
+    servers.replace({}, 1, start);
+    for (std::uint64_t version = 2; version < 6; ++version) {
+        servers.apply({{gg::server_id("s" + std::to_string(version)), std::nullopt, version}},
+                      version, start);
+    }
+    BOOST_TEST(!servers.changes_since(2, start).has_value());
+    BOOST_REQUIRE(servers.changes_since(3, start).has_value());
+    BOOST_TEST(servers.changes_since(3, start)->changes.size() == 2U);
+}
+
 // Guards against eleven hosts overrunning a server that never answers what it cannot queue.
 BOOST_AUTO_TEST_CASE(hosts_together_do_not_overrun_a_full_server) {
     constexpr int hosts = 11;
@@ -564,6 +700,35 @@
     BOOST_REQUIRE(decode(encode(answer), read_answer));
     BOOST_TEST(read_answer.owners.at(gg::service_id("s")).version == 3U);
     BOOST_TEST(read_answer.owners.at(gg::service_id("s")).ranges[1].owner.id.value() == "b");
+    gateway::server_entry entry;
+    entry.life = {gg::server_id("i-1"), 1'760'000'000'123};
+    entry.service = gg::service_id("s");
+    entry.address = {"10.1.0.7", 8'080};
+    entry.data_centre = gg::data_centre_id("dc");
+    entry.slots = 3;
+    entry.draining = true;
+    entry.warmup_left = 1'200ms;
+    answer.servers = gateway::directory_update{
+        9, 40ms, 700ms, {{entry.life.id, entry, 8}, {gg::server_id("i-2"), std::nullopt, 9}}};
+    BOOST_REQUIRE(decode(encode(answer), read_answer));
+    BOOST_REQUIRE(read_answer.servers.has_value());
+    BOOST_TEST(read_answer.servers->version == 9U);
+    BOOST_CHECK(read_answer.servers->age == 40ms);
+    BOOST_CHECK(read_answer.servers->regained_before == 700ms);
+    BOOST_REQUIRE(read_answer.servers->changes.size() == 2U);
+    BOOST_REQUIRE(read_answer.servers->changes[0].entry.has_value());
+    const gateway::server_entry& read_entry = *read_answer.servers->changes[0].entry;
+    BOOST_CHECK(read_entry.life == entry.life);
+    BOOST_CHECK(read_entry.address == entry.address);
+    BOOST_TEST(read_entry.data_centre.value() == "dc");
+    BOOST_TEST(read_entry.slots == 3);
+    BOOST_TEST(read_entry.draining);
+    BOOST_CHECK(read_entry.warmup_left == 1'200ms);
+    BOOST_TEST(!read_answer.servers->changes[1].entry.has_value());
+    BOOST_TEST(read_answer.servers->changes[1].version == 9U);
+    std::string spoiled = encode(answer);
+    spoiled.replace(spoiled.find("8080"), 4, "88080");
+    BOOST_TEST(!decode(spoiled, read_answer));
     // A whole table that leaves keys out must not be used.
     answer.owners[gg::service_id("s")].ranges.pop_back();
     BOOST_TEST(!decode(encode(answer), read_answer));
@@ -805,6 +970,53 @@
     BOOST_CHECK(wire::event_loop::now() - before < 600ms);
 }
 
+// Guards against a ready answer that is lost at the end of the process since it waits behind a
+// request on the same connection that no server answers.
+BOOST_AUTO_TEST_CASE(ready_answers_leave_before_the_process_ends) {
+    fixture own;
+    std::vector<std::shared_ptr<wire::incoming>> kept;
+    stand_in silent(own.loop, [&kept](const auto& asked) { kept.push_back(asked); });
+    stand_in server(own.loop, [](const auto& asked) { reply(asked, 200, "ready", true); });
+    own.add("s1", "plain", silent.address());
+    own.add("s2", "keys", server.address());
+    own.own("s2");
+    const std::string fields = "Host: h\r\nOwn-Id: r1\r\nOwn-Deadline: 5000\r\n";
+    const raw_caller caller(own.loop, own.entry->port(),
+                            "GET /safe/x HTTP/1.1\r\n" + fields +
+                                "\r\nGET /keys/x HTTP/1.1\r\nOwn-Key: 5\r\n" + fields + "\r\n");
+    own.loop.call_after(300ms, [&own] {
+        BOOST_TEST(own.front->open_requests() == 1U);
+        own.front->end_open(wire::event_loop::now());
+        BOOST_TEST(own.front->open_requests() == 0U);
+    });
+    own.loop.call_after(500ms, [&own] { own.loop.stop(); });
+    own.loop.run();
+    BOOST_TEST(server.requests == 1);
+    const std::size_t unknown = caller.received.find("HTTP/1.1 504");
+    const std::size_t ready = caller.received.find("ready");
+    BOOST_TEST(unknown == 0U);
+    BOOST_TEST(ready != std::string::npos);
+}
+
+// Guards against requests to an owner that leaves, later than it serves, where the host learned
+// late that it leaves.
+BOOST_AUTO_TEST_CASE(late_news_do_not_extend_the_use_of_a_leaving_owner) {
+    fixture own;
+    stand_in server(own.loop, [](const auto& asked) { reply(asked, 200, "k", true); });
+    own.add("s1", "keys", server.address());
+    own.own("s1");
+    BOOST_TEST(own.ask("GET", "/keys/x", "300", "5").message.code == 200);
+    gateway::server_entry leaving = *own.servers.find(gg::server_id("s1"));
+    leaving.draining = true;
+    own.servers.apply({{gg::server_id("s1"), leaving, 2}}, 2, wire::event_loop::now());
+    const gg::time_point now = wire::event_loop::now();
+    own.front->set_servers(own.servers, now - 1'300ms, now);
+    BOOST_TEST(own.ask("GET", "/keys/x", "300", "5").message.code == 200);
+    own.loop.call_after(250ms, [&own] { own.loop.stop(); });
+    own.loop.run();
+    BOOST_TEST(own.ask("GET", "/keys/x", "300", "5").message.code == 503);
+}
+
 // Guards against hosts that take over from one that is still reading the owners: on a slow store
 // they would replace each other for seconds, and no lease would be renewed.
 BOOST_AUTO_TEST_CASE(takeover_on_a_slow_store_is_awaited) {
@@ -881,3 +1093,125 @@
     BOOST_TEST(own.coordinating() >= 0);
     BOOST_TEST(own.term() == 1U);
 }
+
+// Guards against a host that learns of a server's end only when it asks the store itself: it does
+// not ask while the coordinator tells it.
+BOOST_AUTO_TEST_CASE(coordinator_tells_hosts_of_servers) {
+    coordination_fixture own;
+    own.add_hosts(2);
+    own.run_for(1'500ms);
+    const int leader = own.coordinating();
+    BOOST_REQUIRE(leader >= 0);
+    gateway::coordinator& coordinator = *own.hosts[static_cast<std::size_t>(leader)]->part;
+    const auto& told = own.hosts[static_cast<std::size_t>(1 - leader)]->relayed;
+    // Without a recent word of the store the coordinator says nothing of the servers.
+    BOOST_TEST(told.empty());
+    coordinator.set_servers_heard(wire::event_loop::now());
+    own.run_for(600ms);
+    BOOST_REQUIRE(!told.empty());
+    BOOST_TEST(told.back().changes.empty());
+    BOOST_CHECK(told.back().age <= 600ms);
+
+    own.servers.apply({{gg::server_id("c"), std::nullopt, 2}}, 2, wire::event_loop::now());
+    const std::size_t before = told.size();
+    coordinator.set_servers_heard(wire::event_loop::now());
+    coordinator.on_servers();
+    own.run_for(150ms);
+    BOOST_TEST(told.size() > before);
+
+    own.run_for(gg::milliseconds(gateway::coordinator_settings{}.relay_lapse));
+    const std::size_t last = told.size();
+    own.run_for(600ms);
+    BOOST_TEST(told.size() == last);
+}
+
+// Guards against a link that is filled for seconds after a takeover, since each host is sent all
+// owners although it has them.
+BOOST_AUTO_TEST_CASE(known_owners_are_not_sent_again_after_a_takeover) {
+    coordination_fixture own;
+    own.add_hosts(3);
+    own.run_for(1'500ms);
+    const int lost = own.coordinating();
+    BOOST_REQUIRE(lost >= 0);
+    const ranges::range_table before = own.hosts[0]->owners;
+    for (const auto& host : own.hosts) {
+        host->whole_tables = 0;
+    }
+    own.hosts[static_cast<std::size_t>(lost)]->part->resign();
+    own.run_for(1'500ms);
+    BOOST_REQUIRE(own.coordinating() >= 0);
+    BOOST_TEST(own.term() == 2U);
+    for (int index = 0; index < 3; ++index) {
+        const auto& host = *own.hosts[static_cast<std::size_t>(index)];
+        BOOST_TEST(host.owners.ranges.size() == before.ranges.size());
+        if (index == own.coordinating()) {
+            // The last coordinator counted its owners itself; the third host has those of the new
+            // one.
+            BOOST_TEST(host.whole_tables == 1);
+        }
+    }
+}
+
+// Guards against a weak host that coordinates although a stronger one can: it needs seconds to send
+// all owners to all hosts, and is taken as lost meanwhile.
+BOOST_AUTO_TEST_CASE(strong_hosts_take_over_first) {
+    gateway::coordinator_settings settings;
+    settings.power = {0.5, 200};
+    BOOST_CHECK(takeover_restraint(settings) == 0ms);
+    settings.power = {0.1, 10};
+    BOOST_CHECK(takeover_restraint(settings) > settings.longest_restraint / 2);
+    for (unsigned round = 0; round < 3; ++round) {
+        coordination_fixture own;
+        own.add_host({0.1, 10});
+        own.add_host({0.1, 10});
+        own.add_host({0.5, 200});
+        own.run_for(1'000ms);
+        BOOST_TEST(own.coordinating() == 2);
+    }
+}
+
+// Guards against a return of the store that is noticed only at the next change of the table,
+// seconds later: until then a coordinator would act as if the store were away.
+BOOST_AUTO_TEST_CASE(return_of_the_store_is_noticed_without_a_change) {
+    coordination_fixture own;
+    gateway::table_watch watch(own.loop, own.store, *own.log, "t", 0ms,
+                               [](const gateway::table_update&) {});
+    watch.start();
+    own.run_for(100ms);
+    BOOST_TEST(watch.reachable());
+    own.store.away = true;
+    own.run_for(500ms);
+    BOOST_TEST(!watch.reachable());
+    own.store.away = false;
+    own.run_for(1'000ms);
+    BOOST_TEST(watch.reachable());
+}
+
+// Guards against calls to the store for what another host tells, and against missing what changed
+// after the last that it told.
+BOOST_AUTO_TEST_CASE(paused_watch_makes_no_calls) {
+    coordination_fixture own;
+    std::vector<std::string> seen;
+    gg::time_point since;
+    gateway::table_watch watch(own.loop, own.store, *own.log, "t", 0ms,
+                               [&seen, &since](const gateway::table_update& update) {
+                                   since = update.since;
+                                   for (const gateway::stored_row& row : update.content.rows) {
+                                       seen.push_back(row.key);
+                                   }
+                               });
+    watch.set_paused(true);
+    watch.start();
+    own.run_for(100ms);
+    own.store.put("t", "told", "");
+    own.store.put("t", "missed", "");
+    own.run_for(100ms);
+    BOOST_TEST(own.store.watches == 0);
+    BOOST_TEST(seen.empty());
+    const gg::time_point told = wire::event_loop::now() - 30ms;
+    watch.skip_to(1, told);
+    watch.set_paused(false);
+    own.run_for(100ms);
+    BOOST_CHECK(since == told);
+    BOOST_TEST(seen == std::vector<std::string>{"missed"}, boost::test_tools::per_element());
+}
