Keep the newest of two times at which the directory was complete

An answer of the coordinator may be older than what this host's own watch has just read. The time then went back, and a leaving owner was used for less time than it serves. Requests are ended a quarter of the grace time before its end at most, for platforms whose grace time is short.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -218,11 +218,12 @@
     void on_relayed(const directory_update& update) {
         const time_point now = wire::event_loop::now();
         const time_point as_of = now - update.age;
-        this->relayed_until = as_of + this->relay_lapse;
+        this->relayed_until = std::max(this->relayed_until, as_of + this->relay_lapse);
         this->log_changes(update.changes, "coordinator");
         this->servers.apply(update, now);
         this->server_watch.skip_to(update.version, as_of);
-        const time_point before = std::exchange(this->servers_as_of, as_of);
+        const time_point before =
+            std::exchange(this->servers_as_of, std::max(this->servers_as_of, as_of));
         if (!update.changes.empty()) {
             this->servers_changed(before, now);
         }
@@ -309,7 +310,8 @@
             this->reading_stopped = true;
             this->front_server.stop_reading();
         }
-        if (since > this->settings.grace - answer_margin && !this->ended_open) {
+        if (since > this->settings.grace - std::min(answer_margin, this->settings.grace / 4) &&
+            !this->ended_open) {
             this->ended_open = true;
             this->requests.end_open(wire::event_loop::now());
         }
