Log connections of callers that a host closes with input unanswered

A warning with the reason and both numbers, a counter, and the idle limit of the configuration in force. No change of behaviour.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -76,6 +76,7 @@
     time_point drain_began;
     bool stopped_reading = false;
     bool open_requests_aborted = false;
+    telemetry::counter cut_connections;
 
     state(wire::event_loop& host_loop, table_store& store, order_sender& orders,
           telemetry::logger& logger, telemetry::metrics& initial_metrics, const row_format& schema,
@@ -133,7 +134,28 @@
                        }),
           peer_server(host_loop, [this](const std::shared_ptr<wire::incoming>& request) {
               this->on_peer(request);
-          }) {}
+          }) {
+        if (const auto counter = initial_metrics.add_counter(
+                "greengagechute_caller_connections_cut_total",
+                "Connections of callers that ended with input that got no answer.")) {
+            this->cut_connections = *counter;
+        }
+        this->front_server.on_closed(
+            [this](const wire::closed_connection& ended) { this->on_caller_connection(ended); });
+    }
+
+    /// Logs the end of a connection if this host left input of the caller without an answer.
+    void on_caller_connection(const wire::closed_connection& ended) {
+        if (ended.reason == wire::close_reason::caller ||
+            (ended.unanswered == 0 && ended.discarded == 0)) {
+            return;
+        }
+        this->cut_connections.add();
+        telemetry::log_warning(this->log, "caller_connection_cut",
+                               {{"reason", wire::to_text(ended.reason)},
+                                {"unanswered", ended.unanswered},
+                                {"discarded", ended.discarded}});
+    }
 
     static front_settings front_settings_for(const gateway_settings& host_settings) {
         front_settings made;
@@ -181,7 +203,8 @@
             telemetry::log_info(this->log, "configuration_in_force",
                                 {{"version", read->version},
                                  {"routes", read->routes.size()},
-                                 {"services", read->services.size()}});
+                                 {"services", read->services.size()},
+                                 {"idle_limit", read->limits.idle_timeout}});
             this->config = std::make_shared<const catalogue>(std::move(*read));
             wire::server_limits limits;
             limits.message = {this->config->limits.header_bytes, this->config->limits.body_bytes};
--- a/libs/wire/include/wire/server.h
+++ b/libs/wire/include/wire/server.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <string_view>
 
 namespace greengagechute::wire {
 
@@ -23,6 +24,31 @@
     std::size_t pipeline = 8;
 };
 
+/// Why a connection ended.
+enum class close_reason {
+    /// The caller closed or lost it.
+    caller,
+    /// No request arrived within the idle limit.
+    idle,
+    /// A request was not complete within its limit.
+    unfinished_request,
+    /// The answer of a request ended it.
+    answered,
+    /// The server is shutting down.
+    stopped,
+};
+
+std::string_view to_text(close_reason reason);
+
+/// The end of a connection, as this side saw it.
+struct closed_connection {
+    close_reason reason = close_reason::caller;
+    /// Requests that were read and not answered.
+    std::size_t unanswered = 0;
+    /// Bytes that arrived after this side had closed and were discarded.
+    std::size_t discarded = 0;
+};
+
 class server_connection;
 
 /// One request of a caller and the place of its answer. Answers leave in the order of the requests.
@@ -69,6 +95,8 @@
     status open(const endpoint& address);
     std::uint16_t port() const;
     void set_limits(const server_limits& limits);
+    /// Called when a connection has ended; not called by the destructor.
+    void on_closed(std::function<void(const closed_connection&)> handler);
     /// Each answer from now on closes its connection.
     void start_closing();
     /// Takes no further connection or request; requests that were read get their answers.
--- a/libs/wire/include/wire/stream.h
+++ b/libs/wire/include/wire/stream.h
@@ -66,7 +66,8 @@
     void close();
     /// Sends what is pending, closes the sending side, and discards what the peer still sends for a
     /// short time, so that unread bytes do not turn the close into a reset.
-    void finish();
+    /// @param closed  called when the connection is closed, with the number of discarded bytes
+    void finish(std::function<void(std::size_t)> closed = {});
 
 private:
     friend class listener;
--- a/libs/wire/src/server.cpp
+++ b/libs/wire/src/server.cpp
@@ -13,6 +13,13 @@
     std::set<std::shared_ptr<server_connection>> connections;
     std::unique_ptr<listener> listening;
     bool closing = false;
+    std::function<void(const closed_connection&)> closed;
+
+    void report(const closed_connection& ended) const {
+        if (this->closed) {
+            this->closed(ended);
+        }
+    }
 };
 
 /// A caller's connection.
@@ -34,6 +41,7 @@
         handlers.ended = [weak](stream_end) {
             if (const auto own = weak.lock()) {
                 own->end();
+                own->owner->report({close_reason::caller, own->unanswered, 0});
             }
         };
         this->socket->set_handlers(std::move(handlers));
@@ -65,7 +73,7 @@
             this->socket->write(serialize(next->reply, next->content.method == "HEAD", close));
             next->reply = {};
             if (close) {
-                this->finish();
+                this->finish(close_reason::answered);
                 return;
             }
         }
@@ -85,17 +93,23 @@
         this->refusing = true;
         this->buffered.clear();
         if (this->waiting.empty()) {
-            this->finish();
+            this->finish(close_reason::stopped);
         }
     }
 
     /// Closes a connection that awaits nothing.
-    void finish() {
+    void finish(close_reason reason) {
         if (this->ended) {
             return;
         }
-        this->socket->finish();
         this->end();
+        const std::weak_ptr<server::state> weak = this->owner;
+        this->socket->finish(
+            [weak, reason, requests = this->unanswered](std::size_t discarded_bytes) {
+                if (const auto own = weak.lock()) {
+                    own->report({reason, requests, discarded_bytes});
+                }
+            });
     }
 
 private:
@@ -175,10 +189,10 @@
         const std::weak_ptr<server_connection> weak = this->weak_from_this();
         this->timer = this->owner->loop.call_after(
             unfinished ? this->owner->limits.header_timeout : this->owner->limits.idle_timeout,
-            [weak] {
+            [weak, unfinished] {
                 const auto own = weak.lock();
                 if (own && own->waiting.empty()) {
-                    own->finish();
+                    own->finish(unfinished ? close_reason::unfinished_request : close_reason::idle);
                 }
             });
     }
@@ -192,6 +206,7 @@
         this->owner->loop.cancel(this->timer);
         this->owner->connections.erase(keep);
         for (const auto& request_left : this->waiting) {
+            this->unanswered += request_left->done ? 0 : 1;
             if (!request_left->done && request_left->left) {
                 const auto left = std::exchange(request_left->left, nullptr);
                 left();
@@ -209,12 +224,29 @@
     std::string buffered;
     std::deque<std::shared_ptr<incoming>> waiting;
     timer_id timer = 0;
+    /// Requests that were not answered when the connection ended.
+    std::size_t unanswered = 0;
     bool reading = false;
     bool refusing = false;
     bool continued = false;
     bool ended = false;
 };
 
+std::string_view to_text(close_reason reason) {
+    switch (reason) {
+        case close_reason::caller:
+            return "closed by the caller";
+        case close_reason::idle:
+            return "idle";
+        case close_reason::unfinished_request:
+            return "unfinished request";
+        case close_reason::answered:
+            return "answered";
+        default:
+            return "process is shutting down";
+    }
+}
+
 bool incoming::is_first() const {
     const auto connection = this->owner.lock();
     return connection && connection->is_first(this);
@@ -239,7 +271,8 @@
 }
 
 server::server(event_loop& loop, request_handler handler)
-    : implementation(std::make_shared<state>(state{loop, std::move(handler), {}, {}, {}, false})) {
+    : implementation(
+          std::make_shared<state>(state{loop, std::move(handler), {}, {}, {}, false, {}})) {
     const std::weak_ptr<state> weak = this->implementation;
     this->implementation->listening =
         std::make_unique<listener>(loop, [weak](const std::shared_ptr<stream>& opened) {
@@ -252,11 +285,12 @@
 }
 
 server::~server() {
+    this->implementation->closed = nullptr;
     this->implementation->listening.reset();
     const std::vector<std::shared_ptr<server_connection>> open(
         this->implementation->connections.begin(), this->implementation->connections.end());
     for (const auto& connection : open) {
-        connection->finish();
+        connection->finish(close_reason::stopped);
     }
 }
 
@@ -272,6 +306,10 @@
     this->implementation->limits = limits;
 }
 
+void server::on_closed(std::function<void(const closed_connection&)> handler) {
+    this->implementation->closed = std::move(handler);
+}
+
 void server::start_closing() {
     this->implementation->closing = true;
 }
@@ -290,7 +328,7 @@
         this->implementation->connections.begin(), this->implementation->connections.end());
     for (const auto& connection : open) {
         if (connection->idle()) {
-            connection->finish();
+            connection->finish(close_reason::stopped);
         }
     }
     return this->implementation->connections.empty();
--- a/libs/wire/src/stream.cpp
+++ b/libs/wire/src/stream.cpp
@@ -94,6 +94,9 @@
     bool finishing = false;
     bool reading = false;
     timer_id linger_timer = 0;
+    /// Bytes that arrived after `finish`, and the handler that is told their number.
+    std::size_t discarded = 0;
+    std::function<void(std::size_t)> finished;
 
     explicit state(event_loop& owner_loop) : loop(owner_loop) {}
 
@@ -121,6 +124,9 @@
         this->loop.cancel(this->linger_timer);
         this->loop.forget(this);
         const auto released_handlers = std::exchange(this->handlers, {});
+        if (const auto notify = std::exchange(this->finished, {})) {
+            notify(this->discarded);
+        }
         uv_close(this->as_handle(), [](uv_handle_t* closed) {
             const auto released = std::move(static_cast<state*>(closed->data)->self);
         });
@@ -161,7 +167,9 @@
             this->end(count == UV_EOF ? stream_end::closed_by_peer : stream_end::failed);
             return;
         }
-        if (!this->finishing && this->handlers.data) {
+        if (this->finishing) {
+            this->discarded += static_cast<std::size_t>(count);
+        } else if (this->handlers.data) {
             // The handler may replace itself while it runs.
             const auto data = this->handlers.data;
             data({base, static_cast<std::size_t>(count)});
@@ -286,12 +294,13 @@
     this->implementation->close();
 }
 
-void stream::finish() {
+void stream::finish(std::function<void(std::size_t)> closed) {
     state& own = *this->implementation;
     if (own.closing || own.finishing) {
         return;
     }
     own.finishing = true;
+    own.finished = std::move(closed);
     own.handlers = {};
     own.start_reading();
     own.shutting.data = &own;
