Leave requests that cross an idle close unread

A connection that was idle for the limit was closed in two steps: its sending side first, and for one second what arrived was read and discarded. A request that crossed the close was read as a whole, so its caller could not tell that it had not run, and an unsafe one was not sent again.

An idle connection is now closed at once, which resets it if bytes arrive later; when the process shuts down, the last answer may still be on its way, so the sending side is closed first and input is left unread. Input behind an answer that closes the connection is discarded as before.

wire_test request_that_crosses_an_idle_close_is_left_unread failed before (no reset within 0.2 s) and passes.

--- a/libs/wire/include/wire/stream.h
+++ b/libs/wire/include/wire/stream.h
@@ -36,6 +36,15 @@
     failed,
 };
 
+/// What happens to bytes that arrive after this side has closed.
+enum class late_input {
+    /// Read and dropped, so that they do not turn the close into a reset that could overtake the
+    /// last bytes sent.
+    discard,
+    /// Left in the socket. The peer's system learns from a reset that they were not read.
+    leave_unread,
+};
+
 /// Calls made by a stream. None is made after `ended`, or after `stream::close`.
 struct stream_handlers {
     std::function<void()> connected;
@@ -64,10 +73,11 @@
     void set_reading(bool enabled);
     /// Closes at once; bytes that have not left are lost.
     void close();
-    /// Sends what is pending, closes the sending side, and discards what the peer still sends for a
-    /// short time, so that unread bytes do not turn the close into a reset.
+    /// Sends what is pending, closes the sending side, and closes the connection a short time
+    /// later.
     /// @param closed  called when the connection is closed, with the number of discarded bytes
-    void finish(std::function<void(std::size_t)> closed = {});
+    void finish(late_input input = late_input::discard,
+                std::function<void(std::size_t)> closed = {});
 
 private:
     friend class listener;
--- a/libs/wire/src/server.cpp
+++ b/libs/wire/src/server.cpp
@@ -103,13 +103,22 @@
             return;
         }
         this->end();
-        const std::weak_ptr<server::state> weak = this->owner;
-        this->socket->finish(
-            [weak, reason, requests = this->unanswered](std::size_t discarded_bytes) {
-                if (const auto own = weak.lock()) {
-                    own->report({reason, requests, discarded_bytes});
-                }
-            });
+        const auto report = [weak = std::weak_ptr<server::state>(this->owner), reason,
+                             requests = this->unanswered](std::size_t discarded_bytes) {
+            if (const auto own = weak.lock()) {
+                own->report({reason, requests, discarded_bytes});
+            }
+        };
+        if (reason == close_reason::answered) {
+            this->socket->finish(late_input::discard, report);
+        } else if (reason == close_reason::stopped) {
+            this->socket->finish(late_input::leave_unread, report);
+        } else {
+            // Nothing that was sent is still on its way. A caller whose request crosses the close
+            // can send it again only if it was not read.
+            this->socket->close();
+            report(0);
+        }
     }
 
 private:
--- a/libs/wire/src/stream.cpp
+++ b/libs/wire/src/stream.cpp
@@ -294,7 +294,7 @@
     this->implementation->close();
 }
 
-void stream::finish(std::function<void(std::size_t)> closed) {
+void stream::finish(late_input input, std::function<void(std::size_t)> closed) {
     state& own = *this->implementation;
     if (own.closing || own.finishing) {
         return;
@@ -302,7 +302,11 @@
     own.finishing = true;
     own.finished = std::move(closed);
     own.handlers = {};
-    own.start_reading();
+    if (input == late_input::discard) {
+        own.start_reading();
+    } else {
+        this->set_reading(false);
+    }
     own.shutting.data = &own;
     const auto after_shutdown = [](uv_shutdown_t* request, int) {
         const auto keep = static_cast<state*>(request->data)->self;
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -5,8 +5,13 @@
 #include "wire/server.h"
 #include "wire/stream.h"
 
+#include <arpa/inet.h>
 #include <boost/test/unit_test.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
 #include <memory>
 #include <string>
 #include <utility>
@@ -119,6 +124,51 @@
     return received;
 }
 
+constexpr gg::milliseconds idle_limit{100};
+
+/// A caller whose socket is used directly, so that it also sees what a stream does not report.
+class blocking_caller {
+public:
+    explicit blocking_caller(std::uint16_t port) : descriptor(::socket(AF_INET, SOCK_STREAM, 0)) {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): socket address types.
+        const auto* target = reinterpret_cast<const sockaddr*>(&address);
+        BOOST_REQUIRE(::connect(this->descriptor, target, sizeof address) == 0);
+        timeval limit{1, 0};
+        ::setsockopt(this->descriptor, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    }
+    blocking_caller(const blocking_caller&) = delete;
+    blocking_caller& operator=(const blocking_caller&) = delete;
+    ~blocking_caller() { ::close(this->descriptor); }
+
+    void write(std::string_view bytes) const {
+        BOOST_REQUIRE(::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+                      static_cast<ssize_t>(bytes.size()));
+    }
+    /// Waits for up to 1 s.
+    std::string read() const {
+        std::array<char, 4'096> buffer{};
+        const ssize_t count = ::recv(this->descriptor, buffer.data(), buffer.size(), 0);
+        return count <= 0 ? std::string() : std::string(buffer.data(), static_cast<size_t>(count));
+    }
+    bool closed_by_peer() const {
+        char byte = 0;
+        return ::recv(this->descriptor, &byte, 1, MSG_DONTWAIT) == 0;
+    }
+    bool reset_by_peer() const {
+        int code = 0;
+        socklen_t size = sizeof code;
+        ::getsockopt(this->descriptor, SOL_SOCKET, SO_ERROR, &code, &size);
+        return code == ECONNRESET || code == EPIPE;
+    }
+
+private:
+    int descriptor;
+};
+
 }  // namespace
 
 // Guards against rewritten paths: an encoded slash and dot segments must arrive as they were sent.
@@ -273,6 +323,32 @@
     BOOST_TEST(received.find("/two") == std::string::npos);
 }
 
+// Guards against a request that arrives after an idle close being read and discarded.
+BOOST_AUTO_TEST_CASE(request_that_crosses_an_idle_close_is_left_unread) {
+    wire::event_loop loop;
+    wire::server server(loop, [](const std::shared_ptr<wire::incoming>&) {});
+    server.set_limits({{}, gg::milliseconds{1'000}, idle_limit});
+    std::vector<wire::closed_connection> closed;
+    server.on_closed([&closed](const wire::closed_connection& ended) { closed.push_back(ended); });
+    BOOST_REQUIRE(!server.open({"127.0.0.1", 0}));
+    const blocking_caller caller(server.port());
+    loop.call_after(idle_limit * 2, [&] {
+        BOOST_TEST(caller.closed_by_peer());
+        caller.write("GET /one HTTP/1.1\r\nHost: h\r\n\r\n");
+    });
+    // The caller learns that its request was not read within `lossSlackS`, 0.2 s.
+    bool reset = false;
+    loop.call_after(idle_limit * 2 + gg::milliseconds{200}, [&] {
+        reset = caller.reset_by_peer();
+        loop.stop();
+    });
+    loop.run();
+    BOOST_TEST(reset);
+    BOOST_REQUIRE(closed.size() == 1U);
+    BOOST_TEST((closed[0].reason == wire::close_reason::idle));
+    BOOST_TEST(closed[0].discarded == 0U);
+}
+
 // Guards against a caller that leaves without its request being given up.
 BOOST_AUTO_TEST_CASE(leaving_caller_is_reported) {
     wire::event_loop loop;
