Read what has arrived before closing an idle connection

Callers saw a request cut although it had arrived before the idle limit: a process that was delayed, by a large configuration on a small host for instance, runs its timers before it polls its sockets, and closed the connection with the request still unread.

The timer now only schedules the close for after the next poll; bytes that have arrived by then start the request instead.

wire_test request_that_waits_in_the_socket_is_answered_after_the_idle_limit failed before (the connection was closed without an answer) and passes.

--- a/libs/wire/src/server.cpp
+++ b/libs/wire/src/server.cpp
@@ -199,13 +199,25 @@
         this->timer = this->owner->loop.call_after(
             unfinished ? this->owner->limits.header_timeout : this->owner->limits.idle_timeout,
             [weak, unfinished] {
-                const auto own = weak.lock();
-                if (own && own->waiting.empty()) {
-                    own->finish(unfinished ? close_reason::unfinished_request : close_reason::idle);
+                if (const auto own = weak.lock()) {
+                    own->finish_unless_input_waits(unfinished ? close_reason::unfinished_request
+                                                              : close_reason::idle);
                 }
             });
     }
 
+    /// Closes after the sockets have been polled once more. In a delayed process the timer fires
+    /// before bytes that arrived in time are read.
+    void finish_unless_input_waits(close_reason reason) {
+        const std::weak_ptr<server_connection> weak = this->weak_from_this();
+        this->timer = this->owner->loop.call_after(poll_time, [weak, reason] {
+            const auto own = weak.lock();
+            if (own && own->waiting.empty()) {
+                own->finish(reason);
+            }
+        });
+    }
+
     void end() {
         if (this->ended) {
             return;
@@ -226,6 +238,8 @@
 
     /// Unparsed bytes of a connection beyond which it is not read.
     static constexpr std::size_t buffer_limit = 65'536;
+    /// The shortest timer that does not fire before the event loop has polled the sockets.
+    static constexpr milliseconds poll_time{1};
 
     std::shared_ptr<server::state> owner;
     std::shared_ptr<stream> socket;
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -14,6 +14,7 @@
 #include <array>
 #include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -349,6 +350,27 @@
     BOOST_TEST(closed[0].discarded == 0U);
 }
 
+// Guards against a request that arrived in time being cut because the process was delayed.
+BOOST_AUTO_TEST_CASE(request_that_waits_in_the_socket_is_answered_after_the_idle_limit) {
+    wire::event_loop loop;
+    wire::server server(loop, [](const std::shared_ptr<wire::incoming>& request) {
+        wire::response reply;
+        reply.code = 200;
+        reply.reason = "OK";
+        request->answer(std::move(reply));
+    });
+    server.set_limits({{}, gg::milliseconds{1'000}, idle_limit});
+    BOOST_REQUIRE(!server.open({"127.0.0.1", 0}));
+    const blocking_caller caller(server.port());
+    loop.call_after(idle_limit / 2, [&caller] {
+        caller.write("GET /one HTTP/1.1\r\nHost: h\r\n\r\n");
+        std::this_thread::sleep_for(idle_limit);
+    });
+    loop.call_after(idle_limit * 2, [&loop] { loop.stop(); });
+    loop.run();
+    BOOST_TEST(caller.read().starts_with("HTTP/1.1 200 OK"));
+}
+
 // Guards against a caller that leaves without its request being given up.
 BOOST_AUTO_TEST_CASE(leaving_caller_is_reported) {
     wire::event_loop loop;
