End the process only after callers have taken their last answers

A host that was stopped cut answers short: a connection counted as closed once its last answer was queued, so the process could end while bytes still waited for a slow link or reader, and the caller got part of its answer.

The server counts connections that ended with an answer until they are closed, and is idle only when there are none. The wait is bounded by the shutdown grace as before.

wire_test server_is_not_idle_until_its_last_answer_has_left failed before and passes.

--- a/libs/wire/include/wire/server.h
+++ b/libs/wire/include/wire/server.h
@@ -101,7 +101,8 @@
     void start_closing();
     /// Takes no further connection or request; requests that were read get their answers.
     void stop_reading();
-    /// Closes the connections that await nothing; true if no connection is left.
+    /// Closes the connections that await nothing; true if none is left and the callers have taken
+    /// the answers of those that have ended.
     bool close_idle();
     std::size_t connections() const;
 
--- a/libs/wire/src/server.cpp
+++ b/libs/wire/src/server.cpp
@@ -13,9 +13,14 @@
     std::set<std::shared_ptr<server_connection>> connections;
     std::unique_ptr<listener> listening;
     bool closing = false;
+    /// Connections that have ended, but whose last answer the caller may not have taken yet.
+    std::size_t finishing = 0;
     std::function<void(const closed_connection&)> closed;
 
-    void report(const closed_connection& ended) const {
+    void report(const closed_connection& ended) {
+        if (ended.reason == close_reason::answered) {
+            --this->finishing;
+        }
         if (this->closed) {
             this->closed(ended);
         }
@@ -110,6 +115,7 @@
             }
         };
         if (reason == close_reason::answered) {
+            ++this->owner->finishing;
             this->socket->finish(late_input::discard, report);
         } else if (reason == close_reason::stopped) {
             this->socket->finish(late_input::leave_unread, report);
@@ -295,7 +301,7 @@
 
 server::server(event_loop& loop, request_handler handler)
     : implementation(
-          std::make_shared<state>(state{loop, std::move(handler), {}, {}, {}, false, {}})) {
+          std::make_shared<state>(state{loop, std::move(handler), {}, {}, {}, false, 0, {}})) {
     const std::weak_ptr<state> weak = this->implementation;
     this->implementation->listening =
         std::make_unique<listener>(loop, [weak](const std::shared_ptr<stream>& opened) {
@@ -354,7 +360,7 @@
             connection->finish(close_reason::stopped);
         }
     }
-    return this->implementation->connections.empty();
+    return this->implementation->connections.empty() && this->implementation->finishing == 0;
 }
 
 std::size_t server::connections() const {
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -371,6 +372,45 @@
     BOOST_TEST(caller.read().starts_with("HTTP/1.1 200 OK"));
 }
 
+// Guards against a process that ends while a slow caller has yet to take the end of its answer.
+BOOST_AUTO_TEST_CASE(server_is_not_idle_until_its_last_answer_has_left) {
+    wire::event_loop loop;
+    constexpr std::size_t large = 16U << 20U;
+    wire::server server(loop, [&loop](const std::shared_ptr<wire::incoming>& request) {
+        wire::response reply;
+        reply.code = 200;
+        reply.reason = "OK";
+        reply.body.assign(large, 'x');
+        request->answer(std::move(reply));
+        loop.stop();
+    });
+    BOOST_REQUIRE(!server.open({"127.0.0.1", 0}));
+    server.start_closing();
+    const blocking_caller caller(server.port());
+    caller.write("GET /one HTTP/1.1\r\nHost: h\r\n\r\n");
+    loop.run();
+    BOOST_TEST(!server.close_idle());
+    std::size_t received = 0;
+    std::thread reader([&caller, &received] {
+        for (std::string bytes = caller.read(); !bytes.empty(); bytes = caller.read()) {
+            received += bytes.size();
+        }
+    });
+    loop.call_after(test_limit, [&loop] { loop.stop(); });
+    const std::function<void()> wait = [&] {
+        if (server.close_idle()) {
+            loop.stop();
+            return;
+        }
+        loop.call_after(gg::milliseconds{10}, wait);
+    };
+    wait();
+    loop.run();
+    reader.join();
+    BOOST_TEST(server.close_idle());
+    BOOST_TEST(received > large);
+}
+
 // Guards against a caller that leaves without its request being given up.
 BOOST_AUTO_TEST_CASE(leaving_caller_is_reported) {
     wire::event_loop loop;
