Apply changed limits to open connections

Callers could see a connection closed, or a request refused with 413 or 431, although the configuration in force allowed it: a connection kept the idle limit that was armed at its last request, and the size limits of the time when it was opened.

The idle limit is read again when the timer fires, and the size limits at the start of each request. A lower idle limit applies from the next request of a connection, since callers rely on the former one until then.

wire_test raised_idle_limit_applies_to_open_connections and raised_size_limits_apply_to_open_connections failed before and pass.

--- a/libs/wire/include/wire/server.h
+++ b/libs/wire/include/wire/server.h
@@ -94,6 +94,7 @@
 
     status open(const endpoint& address);
     std::uint16_t port() const;
+    /// Open connections follow as well; a lower idle limit applies from their next request.
     void set_limits(const server_limits& limits);
     /// Called when a connection has ended; not called by the destructor.
     void on_closed(std::function<void(const closed_connection&)> handler);
--- a/libs/wire/src/server.cpp
+++ b/libs/wire/src/server.cpp
@@ -34,7 +34,6 @@
         : owner(std::move(server_state)), socket(std::move(opened)) {}
 
     void start() {
-        this->parser.set_limits(this->owner->limits.message);
         stream_handlers handlers;
         const std::weak_ptr<server_connection> weak = this->weak_from_this();
         handlers.data = [weak](std::string_view bytes) {
@@ -138,6 +137,9 @@
                this->waiting.size() < (this->owner->closing ? 1 : this->owner->limits.pipeline)) {
             const time_point now = event_loop::now();
             std::size_t used = 0;
+            if (!this->parser.in_message()) {
+                this->parser.set_limits(this->owner->limits.message);
+            }
             const bool complete = this->parser.feed(this->buffered, used);
             this->buffered.erase(0, used);
             if (complete) {
@@ -200,30 +202,45 @@
         if (this->ended || !this->waiting.empty()) {
             return;
         }
-        const bool unfinished = !this->buffered.empty() || this->parser.in_message();
-        const std::weak_ptr<server_connection> weak = this->weak_from_this();
-        this->timer = this->owner->loop.call_after(
-            unfinished ? this->owner->limits.header_timeout : this->owner->limits.idle_timeout,
-            [weak, unfinished] {
-                if (const auto own = weak.lock()) {
-                    own->finish_unless_input_waits(unfinished ? close_reason::unfinished_request
-                                                              : close_reason::idle);
-                }
-            });
+        this->waits_since = event_loop::now();
+        this->check_after(this->limit());
     }
 
-    /// Closes after the sockets have been polled once more. In a delayed process the timer fires
-    /// before bytes that arrived in time are read.
-    void finish_unless_input_waits(close_reason reason) {
-        const std::weak_ptr<server_connection> weak = this->weak_from_this();
-        this->timer = this->owner->loop.call_after(poll_time, [weak, reason] {
-            const auto own = weak.lock();
-            if (own && own->waiting.empty()) {
-                own->finish(reason);
+    bool unfinished() const { return !this->buffered.empty() || this->parser.in_message(); }
+
+    milliseconds limit() const {
+        return this->unfinished() ? this->owner->limits.header_timeout
+                                  : this->owner->limits.idle_timeout;
+    }
+
+    void check_after(milliseconds delay) {
+        this->timer = this->owner->loop.call_after(delay, [weak = this->weak_from_this()] {
+            if (const auto own = weak.lock()) {
+                own->check_limit(event_loop::now());
             }
         });
     }
 
+    /// Closes the connection unless its limit was raised meanwhile.
+    void check_limit(time_point now) {
+        const milliseconds left =
+            std::chrono::ceil<milliseconds>(this->waits_since + this->limit() - now);
+        if (left > milliseconds{0}) {
+            this->check_after(left);
+            return;
+        }
+        // The sockets are polled once more before the close. In a delayed process the timer fires
+        // before bytes that arrived in time are read.
+        const close_reason reason =
+            this->unfinished() ? close_reason::unfinished_request : close_reason::idle;
+        this->timer =
+            this->owner->loop.call_after(poll_time, [weak = this->weak_from_this(), reason] {
+                if (const auto own = weak.lock()) {
+                    own->finish(reason);
+                }
+            });
+    }
+
     void end() {
         if (this->ended) {
             return;
@@ -253,6 +270,8 @@
     std::string buffered;
     std::deque<std::shared_ptr<incoming>> waiting;
     timer_id timer = 0;
+    /// Time of the last input or answer.
+    time_point waits_since;
     /// Requests that were not answered when the connection ended.
     std::size_t unanswered = 0;
     bool reading = false;
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -372,6 +372,56 @@
     BOOST_TEST(caller.read().starts_with("HTTP/1.1 200 OK"));
 }
 
+// Guards against an open connection being closed at the idle limit of an older configuration.
+BOOST_AUTO_TEST_CASE(raised_idle_limit_applies_to_open_connections) {
+    wire::event_loop loop;
+    wire::server server(loop, [](const std::shared_ptr<wire::incoming>&) {});
+    server.set_limits({{}, gg::milliseconds{1'000}, idle_limit});
+    BOOST_REQUIRE(!server.open({"127.0.0.1", 0}));
+    const blocking_caller caller(server.port());
+    loop.call_after(idle_limit / 2, [&server] {
+        server.set_limits({{}, gg::milliseconds{1'000}, idle_limit * 3});
+    });
+    loop.call_after(idle_limit * 2, [&caller] { BOOST_TEST(!caller.closed_by_peer()); });
+    bool closed = false;
+    loop.call_after(idle_limit * 4, [&] {
+        closed = caller.closed_by_peer();
+        loop.stop();
+    });
+    loop.run();
+    BOOST_TEST(closed);
+}
+
+// Guards against an open connection refusing what the configuration in force allows.
+BOOST_AUTO_TEST_CASE(raised_size_limits_apply_to_open_connections) {
+    wire::event_loop loop;
+    int requests = 0;
+    wire::server* changed = nullptr;
+    wire::server server(loop, [&](const std::shared_ptr<wire::incoming>& request) {
+        ++requests;
+        wire::server_limits limits;
+        limits.message.body_bytes = 100;
+        changed->set_limits(limits);
+        wire::response reply;
+        reply.code = 200;
+        reply.reason = "OK";
+        reply.body = request->message().body.size() > 10 ? "large" : "small";
+        request->answer(std::move(reply));
+    });
+    changed = &server;
+    wire::server_limits limits;
+    limits.message.body_bytes = 10;
+    server.set_limits(limits);
+    BOOST_REQUIRE(!server.open({"127.0.0.1", 0}));
+    const std::string received =
+        exchange(loop, {"127.0.0.1", server.port()},
+                 "GET /one HTTP/1.1\r\nHost: h\r\n\r\nPOST /two HTTP/1.1\r\nHost: h\r\n"
+                 "Content-Length: 20\r\n\r\n01234567890123456789",
+                 "large");
+    BOOST_TEST(requests == 2);
+    BOOST_TEST(received.find("large") != std::string::npos);
+}
+
 // Guards against a process that ends while a slow caller has yet to take the end of its answer.
 BOOST_AUTO_TEST_CASE(server_is_not_idle_until_its_last_answer_has_left) {
     wire::event_loop loop;
