Send the interim response of a pipelined request

A caller that pipelined a request with Expect: 100-continue behind another one waited for the interim response until its connection was closed: it was only sent if no earlier request was unanswered when the headers arrived, and not later.

The interim response is now sent once the earlier answers have been.

wire_test pipelined_request_gets_its_interim_response failed before and passes.

--- a/libs/wire/src/server.cpp
+++ b/libs/wire/src/server.cpp
@@ -146,21 +146,27 @@
                 this->accept(now);
             } else if (this->parser.error()) {
                 this->refuse(this->parser.error());
-            } else if (this->parser.wants_continue() && !this->continued) {
-                this->continued = true;
-                if (this->waiting.empty()) {
-                    this->socket->write("HTTP/1.1 100 Continue\r\n\r\n");
-                }
             }
         }
         this->reading = false;
         if (!this->ended) {
+            this->send_continue();
             // A caller that sends more than the pipeline holds waits in its own socket.
             this->socket->set_reading(this->buffered.size() < buffer_limit);
             this->watch();
         }
     }
 
+    /// Sends the interim response that the caller waits for before it sends its body. It must not
+    /// overtake the answers of earlier requests.
+    void send_continue() {
+        if (this->waiting.empty() && !this->continued && !this->refusing &&
+            this->parser.wants_continue()) {
+            this->continued = true;
+            this->socket->write("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+    }
+
     void accept(time_point now) {
         this->continued = false;
         auto next = std::make_shared<incoming>();
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -422,6 +422,27 @@
     BOOST_TEST(received.find("large") != std::string::npos);
 }
 
+// Guards against a pipelined request that waits for an interim response that is never sent.
+BOOST_AUTO_TEST_CASE(pipelined_request_gets_its_interim_response) {
+    wire::event_loop loop;
+    wire::server server(loop, [&loop](const std::shared_ptr<wire::incoming>& request) {
+        loop.call_after(gg::milliseconds{20}, [request] {
+            wire::response reply;
+            reply.code = 200;
+            reply.reason = "OK";
+            request->answer(std::move(reply));
+        });
+    });
+    BOOST_REQUIRE(!server.open({"127.0.0.1", 0}));
+    const std::string received = exchange(loop, {"127.0.0.1", server.port()},
+                                          "GET /one HTTP/1.1\r\nHost: h\r\n\r\n"
+                                          "POST /two HTTP/1.1\r\nHost: h\r\n"
+                                          "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n",
+                                          "100 Continue");
+    BOOST_TEST(received.find("200 OK") < received.find("100 Continue"));
+    BOOST_TEST(received.find("100 Continue") != std::string::npos);
+}
+
 // Guards against a process that ends while a slow caller has yet to take the end of its answer.
 BOOST_AUTO_TEST_CASE(server_is_not_idle_until_its_last_answer_has_left) {
     wire::event_loop loop;
