Tell the versions of a restored store from those before

When the store came back from an older copy of its content, hosts went on comparing versions of the two histories.

A watch that meets another era reads its table again, and the other watches of the host with it; a write that expects a version of an earlier era counts as a conflict and is not sent. Hosts do not join server lists of different eras.

The log has store_restored, and the era beside versions.

--- a/libs/gateway/include/gateway/coordinator.h
+++ b/libs/gateway/include/gateway/coordinator.h
@@ -91,8 +91,9 @@
     std::map<service_id, std::uint64_t> owners;
     /// Term to which the versions in `owners` belong.
     std::uint64_t term = 0;
-    /// Store version up to which the host's directory is complete; 0 if it has no directory.
-    std::uint64_t servers = 0;
+    /// Store version up to which the host's directory is complete; its number is 0 if
+    /// it has no directory.
+    store_version servers;
     /// The coordinator answers without holding the report.
     bool at_once = false;
 };
--- a/libs/gateway/include/gateway/directory.h
+++ b/libs/gateway/include/gateway/directory.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "gateway/store_version.h"
 #include "ranges/range_table.h"
 #include "wire/stream.h"
 
@@ -32,13 +33,13 @@
     server_id id;
     std::optional<server_entry> entry;
     /// Store version of the change.
-    std::uint64_t version = 0;
+    store_version version;
 };
 
 /// Incremental update for a host whose directory has an older version.
 struct directory_update {
     /// Store version up to which `changes` is complete.
-    std::uint64_t version = 0;
+    store_version version;
     /// Time since the store last confirmed that there was no later change.
     milliseconds age{0};
     /// Time since the store became reachable again; set only while servers whose entries lapsed may
@@ -64,19 +65,20 @@
 
     /// Applies changes; skips those that are older than the last known change of the same server.
     /// @param version  store version up to which `changes` is complete
-    void apply(const std::vector<server_change>& changes, std::uint64_t version, time_point now);
+    void apply(const std::vector<server_change>& changes, store_version version, time_point now);
     /// Replaces the content by a snapshot of the store at `version`; servers that aren't in
     /// `entries` are removed.
-    void replace(const std::vector<server_change>& entries, std::uint64_t version, time_point now);
+    void replace(const std::vector<server_change>& entries, store_version version, time_point now);
     /// Records that the store became reachable again. For `reregistration_time` from then on,
     /// removed entries are kept, as their servers may register again.
     void note_store_recovered(time_point when);
     /// Changes after a store version; there are none if it is newer than the directory. Empty if
-    /// nothing has been loaded, or if the version is older than the kept history of removals.
-    std::optional<directory_update> changes_since(std::uint64_t version, time_point now) const;
+    /// nothing has been loaded, if the version is older than the kept history of removals, or if it
+    /// is of another era than the directory.
+    std::optional<directory_update> changes_since(store_version version, time_point now) const;
     void apply(const directory_update& update, time_point now);
     /// Store version up to which the directory is complete.
-    std::uint64_t version() const { return this->known_version; }
+    store_version version() const { return this->known_version; }
     /// Removes entries whose servers haven't registered again in time.
     /// @return  whether any was removed
     bool expire(time_point now);
@@ -101,12 +103,12 @@
     /// Entries that lapsed, and when they expire.
     std::map<server_id, time_point> awaiting_reregistration;
     /// Store version of the last change of each server, including removed ones.
-    std::map<server_id, std::uint64_t> last_changed_version;
+    std::map<server_id, store_version> last_changed_version;
     /// Servers that are no longer in the store, by the store version of their removal.
-    std::multimap<std::uint64_t, server_id> removed;
-    std::uint64_t known_version = 0;
+    std::multimap<store_version, server_id> removed;
+    store_version known_version;
     /// Removals up to this version may be missing from `removed`.
-    std::uint64_t oldest_complete_version = 0;
+    store_version oldest_complete_version;
     std::optional<time_point> store_recovered_at;
     bool has_content = false;
 };
--- a/libs/gateway/include/gateway/store.h
+++ b/libs/gateway/include/gateway/store.h
@@ -2,6 +2,7 @@
 
 #include "base/result.h"
 #include "base/time.h"
+#include "gateway/store_version.h"
 #include "ranges/lease_manager.h"
 #include "wire/stream.h"
 
@@ -19,8 +20,8 @@
     std::string table;
     std::string key;
     std::string value;
-    /// Version of the row; 0 if it does not exist.
-    std::uint64_t version = 0;
+    /// Version of the row; its number is 0 if the row does not exist.
+    store_version version;
     bool removed = false;
 };
 
@@ -28,7 +29,7 @@
 struct table_content {
     std::vector<stored_row> rows;
     /// Store version of the snapshot or of the newest change covered.
-    std::uint64_t version = 0;
+    store_version version;
 };
 
 enum class commit_outcome {
@@ -57,11 +58,12 @@
     /// Reads all rows of a table. Errors: `gateway_errc::store_unavailable`.
     virtual void read(const std::string& table, content_handler done) = 0;
     /// Long-polls for changes after a store version: answers as soon as there is one, or with no
-    /// rows after `wait`. Errors: `gateway_errc::store_unavailable`, `gateway_errc::history_lost`.
-    virtual void watch(const std::string& table, std::uint64_t after, milliseconds wait,
+    /// rows after `wait`. In a later era than that of `after`, the answer need not hold all
+    /// changes. Errors: `gateway_errc::store_unavailable`, `gateway_errc::history_lost`.
+    virtual void watch(const std::string& table, store_version after, milliseconds wait,
                        content_handler done) = 0;
     /// Atomically writes `rows` if the stored version of each row in `expected` matches the version
-    /// given there. Values in `expected` are ignored.
+    /// given there. Values in `expected` are ignored. Versions of an earlier era never match.
     virtual void commit(const std::vector<stored_row>& expected,
                         const std::vector<stored_row>& rows, commit_handler done) = 0;
 };
--- a/libs/gateway/include/gateway/table_watch.h
+++ b/libs/gateway/include/gateway/table_watch.h
@@ -22,7 +22,7 @@
     table_content content;
     /// `content` holds all rows, not only changes.
     bool whole = false;
-    /// The previous call failed.
+    /// The previous call failed, or the store came back from an older copy.
     bool after_outage = false;
     /// Earliest time at which the changes can have happened; the time of the answer if the watch
     /// was not paused before.
@@ -50,7 +50,9 @@
     void set_paused(bool wanted);
     /// Continues after a store version whose content is known from another source.
     /// @param when  time at which the store had no later version
-    void advance_to(std::uint64_t known, time_point when);
+    void advance_to(store_version known, time_point when);
+    /// Reads the table again if its content is of an earlier era of the store.
+    void reload_before(std::uint64_t era);
     /// Replaces a pending call by one that the store answers immediately. After a network
     /// interruption, the answer to the pending call may be delayed for seconds by TCP
     /// retransmission timeouts.
@@ -68,9 +70,11 @@
     void read();
     void watch();
     void on_failure(const status& error);
+    /// Makes the next call after a delay, unless another call has been made by then.
+    void continue_after(milliseconds delay);
     /// Resets the failure count.
     /// @return  an update without content
-    table_update on_answer(std::uint64_t newest);
+    table_update on_answer(const store_version& newest);
 
     wire::event_loop& loop;
     table_store& store;
@@ -79,12 +83,12 @@
     milliseconds batch_delay;
     milliseconds max_wait;
     update_handler handler;
-    std::uint64_t version = 0;
+    store_version version;
     std::optional<time_point> last_answer;
     /// Time at which the content was last known to be complete.
     time_point complete_at;
     int failures = 0;
-    /// Number of the last watch call; answers to earlier ones are ignored.
+    /// Number of the last call; answers to earlier ones are ignored.
     std::uint64_t last_call = 0;
     bool call_pending = false;
     bool poll_requested = false;
--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -149,7 +149,7 @@
     milliseconds batch_delay{0};
     /// Held reports of hosts whose directory has an older version than this are answered
     /// immediately.
-    std::uint64_t announced_version = 0;
+    store_version announced_version{};
     bool announcement_scheduled = false;
 
     std::vector<held_report> held_reports{};
@@ -164,9 +164,9 @@
     std::map<service_id, std::uint64_t> inherited_versions{};
     std::uint64_t inherited_term = 0;
 
-    std::uint64_t version_of(std::string_view table, const std::string& key) const {
+    store_version version_of(std::string_view table, const std::string& key) const {
         const auto found = this->rows.find({std::string(table), key});
-        return found == this->rows.end() ? 0 : found->second.version;
+        return found == this->rows.end() ? store_version{} : found->second.version;
     }
     const stored_row* owners_row(const service_id& service) const {
         const auto found = this->rows.find({std::string(owners_table), service.value()});
@@ -267,7 +267,7 @@
     }
     const auto read = decode_term(row.value);
     if (!read) {
-        telemetry::log_error(this->log, "term_row_malformed", {{"version", row.version}});
+        telemetry::log_error(this->log, "term_row_malformed", {{"version", row.version.number}});
         return;
     }
     this->term = *read;
@@ -783,9 +783,10 @@
     term_version.version = this->version_of(term_table, term_version.key);
     const std::vector<stored_row> expected{row, term_version};
     row.value = ranges::encode(table);
-    telemetry::log_info(
-        this->log, "owners_change",
-        {{"service", service.value()}, {"ranges", table.ranges.size()}, {"version", row.version}});
+    telemetry::log_info(this->log, "owners_change",
+                        {{"service", service.value()},
+                         {"ranges", table.ranges.size()},
+                         {"version", row.version.number}});
     this->store.commit(expected, {row}, [this, service, value = row.value](commit_outcome outcome) {
         if (!this->managed.contains(service)) {
             return;
@@ -927,7 +928,7 @@
 
 /// Whether this host's directory is recent enough to relay, and the reporting host has one.
 bool coordinator::state::can_relay_directory(const host_report& report, time_point now) const {
-    return report.servers != 0 && this->directory_confirmed_at &&
+    return report.servers.number != 0 && this->directory_confirmed_at &&
            now - *this->directory_confirmed_at < this->settings.relay_max_age;
 }
 
--- a/libs/gateway/src/directory.cpp
+++ b/libs/gateway/src/directory.cpp
@@ -37,7 +37,7 @@
 }
 
 void directory::apply_one(const server_change& change, time_point now) {
-    std::uint64_t& changed = this->last_changed_version[change.id];
+    store_version& changed = this->last_changed_version[change.id];
     if (change.version < changed) {
         return;
     }
@@ -73,7 +73,7 @@
     }
 }
 
-void directory::apply(const std::vector<server_change>& changes, std::uint64_t version,
+void directory::apply(const std::vector<server_change>& changes, store_version version,
                       time_point now) {
     for (const server_change& change : changes) {
         this->apply_one(change, now);
@@ -81,9 +81,9 @@
     this->known_version = std::max(this->known_version, version);
 }
 
-void directory::replace(const std::vector<server_change>& current, std::uint64_t version,
+void directory::replace(const std::vector<server_change>& current, store_version version,
                         time_point now) {
-    if (!this->has_content) {
+    if (!this->has_content || version.era != this->known_version.era) {
         this->oldest_complete_version = version;
     }
     this->has_content = true;
@@ -109,9 +109,10 @@
     this->apply(update.changes, update.version, now);
 }
 
-std::optional<directory_update> directory::changes_since(std::uint64_t version,
+std::optional<directory_update> directory::changes_since(store_version version,
                                                          time_point now) const {
-    if (!this->has_content || version < this->oldest_complete_version) {
+    if (!this->has_content || version < this->oldest_complete_version ||
+        version.era != this->known_version.era) {
         return std::nullopt;
     }
     directory_update update;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -120,6 +120,7 @@
                        [this](const table_update& update) { this->on_directory_changed(update); }),
           term_watch(host_loop, store, logger, std::string(term_table), no_batch_delay,
                      [this](const table_update& update) {
+                         this->on_store_era(update.content.version.era);
                          this->ownership.on_term(update.content, update.whole);
                      }),
           front_server(host_loop,
@@ -179,7 +180,16 @@
 
     bool is_ready() const { return !this->draining && this->config && this->servers.loaded(); }
 
+    /// Reads the tables again whose content is from before the store came back from a copy.
+    void on_store_era(std::uint64_t era) {
+        for (table_watch* watch :
+             {&this->catalogue_watch, &this->server_watch, &this->term_watch}) {
+            watch->reload_before(era);
+        }
+    }
+
     void on_catalogue(const table_update& update) {
+        this->on_store_era(update.content.version.era);
         for (const stored_row& row : update.content.rows) {
             if (row.key != this->format.catalogue_row || row.removed) {
                 continue;
@@ -188,7 +198,7 @@
             auto read = this->format.parse_catalogue(row.value, reason);
             if (!read) {
                 telemetry::log_error(this->log, "configuration_refused",
-                                     {{"row_version", row.version}, {"reason", reason}});
+                                     {{"row_version", row.version.number}, {"reason", reason}});
                 continue;
             }
             if (this->config && read->version <= this->config->version) {
@@ -217,6 +227,7 @@
     }
 
     void on_directory_changed(const table_update& update) {
+        this->on_store_era(update.content.version.era);
         const time_point now = wire::event_loop::now();
         std::vector<server_change> changes;
         for (const stored_row& row : update.content.rows) {
@@ -229,7 +240,8 @@
                                            {{"server", row.key}, {"reason", reason}});
                 }
             }
-            const std::uint64_t version = row.version != 0 ? row.version : update.content.version;
+            const store_version version =
+                row.version.number != 0 ? row.version : update.content.version;
             changes.push_back({server_id(row.key), std::move(entry), version});
         }
         if (update.after_outage) {
@@ -247,6 +259,10 @@
 
     /// Applies changes of the server directory received from the coordinator.
     void on_relayed_servers(const directory_update& update) {
+        if (update.version.era != this->servers.version().era) {
+            // Versions of different eras of the store cannot be joined.
+            return;
+        }
         const time_point now = wire::event_loop::now();
         const time_point as_of = now - update.age;
         this->relayed_until = std::max(this->relayed_until, as_of + this->relay_max_age);
@@ -267,7 +283,8 @@
                                  {"present", change.entry.has_value()},
                                  {"draining", change.entry && change.entry->draining},
                                  {"born", change.entry ? change.entry->life.start_time_ms : 0},
-                                 {"version", change.version},
+                                 {"version", change.version.number},
+                                 {"era", change.version.era},
                                  {"source", source}});
         }
     }
--- a/libs/gateway/src/reports.cpp
+++ b/libs/gateway/src/reports.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t entry_fields = 10;
 
 nlohmann::json encode_change(const server_change& change) {
-    nlohmann::json fields = {change.id.value(), change.version};
+    nlohmann::json fields = {change.id.value(), change.version.number};
     if (change.entry) {
         const server_entry& entry = *change.entry;
         fields.push_back(entry.life.start_time_ms);
@@ -38,7 +38,7 @@
     }
     server_change change;
     change.id = server_id(fields[0].get<std::string>());
-    change.version = fields[1].get<std::uint64_t>();
+    change.version.number = fields[1].get<std::uint64_t>();
     if (fields.size() == removal_fields) {
         return change;
     }
@@ -62,6 +62,16 @@
     return change;
 }
 
+/// Hosts that run an earlier release send no era.
+store_version decode_version(const nlohmann::json& parsed, const char* number, const char* era) {
+    const auto field = [&parsed](const char* name) {
+        return parsed.contains(name) && parsed[name].is_number_unsigned()
+                   ? parsed[name].get<std::uint64_t>()
+                   : 0;
+    };
+    return {field(era), field(number)};
+}
+
 bool decode_directory_update(const nlohmann::json& parsed, directory_update& update) {
     if (!parsed.is_object() || !parsed.contains("version") ||
         !parsed["version"].is_number_unsigned() || !parsed.contains("changes") ||
@@ -70,7 +80,7 @@
         return false;
     }
     update.age = milliseconds(parsed["age"].get<std::int64_t>());
-    update.version = parsed["version"].get<std::uint64_t>();
+    update.version = decode_version(parsed, "version", "era");
     if (parsed.contains("regained_before")) {
         if (!parsed["regained_before"].is_number_unsigned()) {
             return false;
@@ -82,6 +92,7 @@
         if (!change) {
             return false;
         }
+        change->version.era = update.version.era;
         update.changes.push_back(std::move(*change));
     }
     return true;
@@ -96,8 +107,9 @@
     if (report.at_once) {
         text["at_once"] = true;
     }
-    if (report.servers != 0) {
-        text["servers"] = report.servers;
+    if (report.servers.number != 0) {
+        text["servers"] = report.servers.number;
+        text["servers_era"] = report.servers.era;
     }
     for (const auto& [service, version] : report.owners) {
         text["owners"][service.value()] = version;
@@ -143,9 +155,7 @@
                       : 0;
     report.at_once = parsed.contains("at_once") && parsed["at_once"].is_boolean() &&
                      parsed["at_once"].get<bool>();
-    report.servers = parsed.contains("servers") && parsed["servers"].is_number_unsigned()
-                         ? parsed["servers"].get<std::uint64_t>()
-                         : 0;
+    report.servers = decode_version(parsed, "servers", "servers_era");
     if (parsed.contains("owners") && parsed["owners"].is_object()) {
         for (const auto& [service, version] : parsed["owners"].items()) {
             if (!version.is_number_unsigned()) {
@@ -195,7 +205,8 @@
     text["term"] = answer.term;
     if (answer.servers) {
         nlohmann::json& written = text["servers"];
-        written["version"] = answer.servers->version;
+        written["version"] = answer.servers->version.number;
+        written["era"] = answer.servers->version.era;
         written["age"] = answer.servers->age.count();
         if (answer.servers->regained_before) {
             written["regained_before"] = answer.servers->regained_before->count();
--- a/libs/gateway/src/table_watch.cpp
+++ b/libs/gateway/src/table_watch.cpp
@@ -40,7 +40,7 @@
                                {{"table", this->table},
                                 {"error", error},
                                 {"reason", error.message()},
-                                {"version", this->version}});
+                                {"version", this->version.number}});
     }
     const milliseconds pause =
         std::min(max_retry_delay, min_retry_delay * (1 << std::min(this->failures - 1, 4)));
@@ -48,17 +48,31 @@
         this->read();
         return;
     }
-    this->loop.call_after(pause, [this] { this->has_content ? this->watch() : this->read(); });
+    this->continue_after(pause);
 }
 
-table_update table_watch::on_answer(std::uint64_t newest) {
+void table_watch::continue_after(milliseconds delay) {
+    this->loop.call_after(delay, [this, call = this->last_call] {
+        if (call != this->last_call) {
+            return;
+        }
+        if (this->has_content) {
+            this->watch();
+        } else {
+            this->read();
+        }
+    });
+}
+
+table_update table_watch::on_answer(const store_version& newest) {
     const time_point now = wire::event_loop::now();
     table_update update;
     update.after_outage = this->failures > 0;
     update.since = this->was_paused ? this->complete_at : now;
     if (update.after_outage) {
-        telemetry::log_info(this->log, "store_watch_regained",
-                            {{"table", this->table}, {"version", newest}});
+        telemetry::log_info(
+            this->log, "store_watch_regained",
+            {{"table", this->table}, {"version", newest.number}, {"era", newest.era}});
     }
     this->failures = 0;
     this->last_answer = now;
@@ -68,23 +82,47 @@
 }
 
 void table_watch::read() {
-    this->store.read(this->table, [this](result<table_content> answer) {
+    this->call_pending = true;
+    const std::uint64_t call = ++this->last_call;
+    this->store.read(this->table, [this, call](result<table_content> answer) {
+        if (call != this->last_call) {
+            return;
+        }
+        this->call_pending = false;
         if (!answer) {
             // The history may be lost: only a snapshot shows which rows have been removed.
             this->has_content = false;
             this->on_failure(answer.error());
             return;
         }
+        const bool restored =
+            this->version != store_version{} && answer->version.era != this->version.era;
         table_update update = this->on_answer(answer->version);
+        if (restored) {
+            update.after_outage = true;
+            telemetry::log_warning(this->log, "store_restored",
+                                   {{"table", this->table},
+                                    {"known_version", this->version.number},
+                                    {"version", answer->version.number},
+                                    {"era", answer->version.era}});
+        }
         this->has_content = true;
         this->version = answer->version;
         update.whole = true;
         update.content = std::move(*answer);
         this->handler(update);
-        this->loop.call_after(this->batch_delay, [this] { this->watch(); });
+        this->continue_after(this->batch_delay);
     });
 }
 
+void table_watch::reload_before(std::uint64_t era) {
+    if (this->has_content && this->version.era < era) {
+        this->has_content = false;
+        this->idle = false;
+        this->read();
+    }
+}
+
 void table_watch::set_paused(bool wanted) {
     this->paused = wanted;
     if (!wanted && this->idle) {
@@ -93,13 +131,13 @@
     }
 }
 
-void table_watch::advance_to(std::uint64_t known, time_point when) {
+void table_watch::advance_to(store_version known, time_point when) {
     this->version = std::max(this->version, known);
     this->complete_at = std::max(this->complete_at, when);
 }
 
 void table_watch::poll_now() {
-    if (this->call_pending && !this->paused) {
+    if (this->call_pending && this->has_content && !this->paused) {
         this->poll_requested = true;
         this->watch();
     }
@@ -125,6 +163,13 @@
                               this->on_failure(answer.error());
                               return;
                           }
+                          if (answer->version.era != this->version.era) {
+                              // The store came back from an older copy. What it says has changed
+                              // since a version of the lost history is not complete.
+                              this->has_content = false;
+                              this->read();
+                              return;
+                          }
                           table_update update = this->on_answer(answer->version);
                           this->version = std::max(this->version, answer->version);
                           const bool changed = !answer->rows.empty();
@@ -132,8 +177,7 @@
                               update.content = std::move(*answer);
                               this->handler(update);
                           }
-                          this->loop.call_after(changed ? this->batch_delay : milliseconds{0},
-                                                [this] { this->watch(); });
+                          this->continue_after(changed ? this->batch_delay : milliseconds{0});
                       });
 }
 
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -31,6 +31,11 @@
 constexpr gg::milliseconds test_limit{8'000};
 constexpr gg::time_point start{1h};
 
+/// Version in the first era of a store that states none.
+constexpr gateway::store_version at(std::uint64_t number) {
+    return {0, number};
+}
+
 gateway::header_names make_header_names() {
     return {"Own-Id",        "Own-Deadline", "Own-Signature", "Own-Server", "Own-Load",
             "Own-Answering", "Own-Not-Run",  "Retry-After",   "Own-Key"};
@@ -148,7 +153,8 @@
         entry_of_server.address = address;
         entry_of_server.data_centre = gg::data_centre_id("dc");
         entry_of_server.slots = 2;
-        this->servers.apply({{gg::server_id(id), entry_of_server}}, 0, wire::event_loop::now());
+        this->servers.apply({{gg::server_id(id), entry_of_server, {}}}, {},
+                            wire::event_loop::now());
         this->front->set_servers(this->servers, wire::event_loop::now(), wire::event_loop::now());
     }
 
@@ -263,12 +269,12 @@
                 done(make_error_code(gateway::gateway_errc::store_unavailable));
                 return;
             }
-            done(this->changes(table, 0));
+            done(this->changes(table, {}));
         });
     }
 
-    void watch(const std::string& table, std::uint64_t after_version, gg::milliseconds wait,
-               content_handler done) override {
+    void watch(const std::string& table, gateway::store_version after_version,
+               gg::milliseconds wait, content_handler done) override {
         ++this->watches;
         this->poll_changes(table, after_version, wire::event_loop::now() + wait, std::move(done));
     }
@@ -282,12 +288,13 @@
                 return;
             }
             for (const gateway::stored_row& row : expected) {
-                if (this->stored[{row.table, row.key}].version != row.version) {
+                if (this->stored[{row.table, row.key}].version.number != row.version.number ||
+                    (row.version.number != 0 && row.version.era != this->version.era)) {
                     done(gateway::commit_outcome::conflict);
                     return;
                 }
             }
-            ++this->version;
+            ++this->version.number;
             for (gateway::stored_row row : rows) {
                 row.version = this->version;
                 this->stored[{row.table, row.key}] = row;
@@ -299,10 +306,24 @@
 
     /// Writes a row immediately.
     void put(const std::string& table, const std::string& key, const std::string& value) {
-        ++this->version;
+        ++this->version.number;
         this->stored[{table, key}] = {table, key, value, this->version};
     }
 
+    /// Keeps the present content for `restore`.
+    void take_copy() {
+        this->copy = this->stored;
+        this->copy_version = this->version;
+    }
+    /// Comes back from the copy: what was written since is lost, and versions are given out again.
+    void restore() {
+        this->stored = this->copy;
+        this->version = {this->version.era + 1, this->copy_version.number};
+    }
+    const std::string& value(std::string_view table, std::string_view key) {
+        return this->stored[{std::string(table), std::string(key)}].value;
+    }
+
     gg::milliseconds delay{1};
     /// Reads and watches fail as if the store were unavailable.
     bool away = false;
@@ -316,8 +337,8 @@
     int commits = 0;
 
 private:
-    void poll_changes(const std::string& table, std::uint64_t after_version, gg::time_point until,
-                      content_handler done) {
+    void poll_changes(const std::string& table, gateway::store_version after_version,
+                      gg::time_point until, content_handler done) {
         this->after([this, table, after_version, until, done = std::move(done)] {
             if (this->drops_watches) {
                 return;
@@ -326,6 +347,10 @@
                 done(make_error_code(gateway::gateway_errc::store_unavailable));
                 return;
             }
+            if (after_version.number > this->version.number) {
+                done(make_error_code(gateway::gateway_errc::history_lost));
+                return;
+            }
             auto content = this->changes(table, after_version);
             if (content.rows.empty() && wire::event_loop::now() < until) {
                 this->poll_changes(table, after_version, until, done);
@@ -342,11 +367,13 @@
         });
     }
 
-    gateway::table_content changes(const std::string& table, std::uint64_t after_version) const {
+    gateway::table_content changes(const std::string& table,
+                                   gateway::store_version after_version) const {
         gateway::table_content content;
         for (const auto& [name, row] : this->stored) {
-            if (name.first == table && row.version > after_version) {
+            if (name.first == table && row.version.number > after_version.number) {
                 content.rows.push_back(row);
+                content.rows.back().version.era = this->version.era;
             }
         }
         content.version = this->version;
@@ -355,7 +382,9 @@
 
     wire::event_loop& loop;
     std::map<std::pair<std::string, std::string>, gateway::stored_row> stored;
-    std::uint64_t version = 0;
+    gateway::store_version version;
+    std::map<std::pair<std::string, std::string>, gateway::stored_row> copy;
+    gateway::store_version copy_version;
 };
 
 /// Accepts every order after 1 ms and records the highest fence.
@@ -387,8 +416,8 @@
             this->store.read(table, std::move(done));
         }
     }
-    void watch(const std::string& table, std::uint64_t after_version, gg::milliseconds wait,
-               content_handler done) override {
+    void watch(const std::string& table, gateway::store_version after_version,
+               gg::milliseconds wait, content_handler done) override {
         this->store.watch(table, after_version, wait,
                           [this, done = std::move(done)](gg::result<gateway::table_content> found) {
                               if (!this->lost) {
@@ -497,9 +526,9 @@
             entry.life = {gg::server_id(id), 1};
             entry.service = gg::service_id("keys");
             entry.address = {"127.0.0.1", static_cast<std::uint16_t>(1 + entries.size())};
-            entries.push_back({entry.life.id, entry, 1});
+            entries.push_back({entry.life.id, entry, at(1)});
         }
-        this->servers.replace(entries, 1, wire::event_loop::now());
+        this->servers.replace(entries, at(1), wire::event_loop::now());
     }
 
     void add_host(const gateway::host_capacity& capacity) {
@@ -567,17 +596,17 @@
     gateway::directory servers{gateway::directory_settings{}};
     gateway::server_entry entry;
     entry.life = {gg::server_id("s"), 1};
-    servers.replace({{entry.life.id, entry, 1}}, 1, start);
+    servers.replace({{entry.life.id, entry, at(1)}}, at(1), start);
     servers.note_store_recovered(start + 10s);
-    servers.replace({}, 2, start + 10s);
+    servers.replace({}, at(2), start + 10s);
     BOOST_TEST(servers.awaits_reregistration(gg::server_id("s")));
     BOOST_TEST(!servers.expire(start + 11s));
     BOOST_TEST((servers.find(gg::server_id("s")) != nullptr));
     BOOST_TEST(servers.expire(start + 12s));
     BOOST_TEST((servers.find(gg::server_id("s")) == nullptr));
 
-    servers.replace({{entry.life.id, entry, 3}}, 3, start + 20s);
-    servers.apply({{gg::server_id("s"), std::nullopt, 4}}, 4, start + 21s);
+    servers.replace({{entry.life.id, entry, at(3)}}, at(3), start + 20s);
+    servers.apply({{gg::server_id("s"), std::nullopt, at(4)}}, at(4), start + 21s);
     BOOST_TEST((servers.find(gg::server_id("s")) == nullptr));
 }
 
@@ -591,34 +620,34 @@
         return made;
     };
     const auto change = [&entry](const std::string& id, std::uint64_t version) {
-        return gateway::server_change{gg::server_id(id), entry(id), version};
+        return gateway::server_change{gg::server_id(id), entry(id), at(version)};
     };
     gateway::directory first{gateway::directory_settings{}};
     gateway::directory second{gateway::directory_settings{}};
-    first.replace({change("a", 3), change("b", 5)}, 10, start);
-    second.replace({change("a", 3), change("b", 5)}, 12, start);
-    BOOST_TEST(!first.changes_since(9, start).has_value());
+    first.replace({change("a", 3), change("b", 5)}, at(10), start);
+    second.replace({change("a", 3), change("b", 5)}, at(12), start);
+    BOOST_TEST(!first.changes_since(at(9), start).has_value());
     // The other directory has a newer version.
-    BOOST_REQUIRE(first.changes_since(12, start).has_value());
-    BOOST_TEST(first.changes_since(12, start)->changes.empty());
+    BOOST_REQUIRE(first.changes_since(at(12), start).has_value());
+    BOOST_TEST(first.changes_since(at(12), start)->changes.empty());
 
-    first.apply({{gg::server_id("a"), std::nullopt, 14}, change("c", 15)}, 15, start);
+    first.apply({{gg::server_id("a"), std::nullopt, at(14)}, change("c", 15)}, at(15), start);
     const auto update = first.changes_since(second.version(), start);
     BOOST_REQUIRE(update.has_value());
     BOOST_TEST(update->changes.size() == 2U);
     second.apply(*update, start);
-    BOOST_TEST(second.version() == 15U);
+    BOOST_CHECK(second.version() == at(15));
     BOOST_TEST((second.find(gg::server_id("a")) == nullptr));
     BOOST_TEST((second.find(gg::server_id("c")) != nullptr));
-    second.apply({change("a", 3), {gg::server_id("c"), std::nullopt, 13}}, 13, start);
+    second.apply({change("a", 3), {gg::server_id("c"), std::nullopt, at(13)}}, at(13), start);
     BOOST_TEST((second.find(gg::server_id("a")) == nullptr));
     BOOST_TEST((second.find(gg::server_id("c")) != nullptr));
 
     // A new server writes its remaining warm-up with each heartbeat; that alone is not a change.
     gateway::server_change warmer = change("c", 16);
     warmer.entry->warmup_left = 2s;
-    first.apply({warmer}, 16, start);
-    BOOST_TEST(first.changes_since(15, start)->changes.empty());
+    first.apply({warmer}, at(16), start);
+    BOOST_TEST(first.changes_since(at(15), start)->changes.empty());
 }
 
 // Guards against a host that removes a lapsed entry because only the coordinator, not the host
@@ -628,11 +657,11 @@
     entry.life = {gg::server_id("s"), 1};
     gateway::directory first{gateway::directory_settings{}};
     gateway::directory second{gateway::directory_settings{}};
-    first.replace({{entry.life.id, entry, 1}}, 1, start);
-    second.replace({{entry.life.id, entry, 1}}, 1, start);
+    first.replace({{entry.life.id, entry, at(1)}}, at(1), start);
+    second.replace({{entry.life.id, entry, at(1)}}, at(1), start);
     first.note_store_recovered(start + 10s);
-    first.apply({{entry.life.id, std::nullopt, 2}}, 2, start + 10s);
-    const auto update = first.changes_since(1, start + 10'500ms);
+    first.apply({{entry.life.id, std::nullopt, at(2)}}, at(2), start + 10s);
+    const auto update = first.changes_since(at(1), start + 10'500ms);
     BOOST_REQUIRE(update.has_value());
     second.apply(*update, start + 10'500ms);
     BOOST_TEST(second.awaits_reregistration(entry.life.id));
@@ -646,14 +675,14 @@
     gateway::directory_settings few;
     few.max_removed = 2;
     gateway::directory servers{few};
-    servers.replace({}, 1, start);
+    servers.replace({}, at(1), start);
     for (std::uint64_t version = 2; version < 6; ++version) {
-        servers.apply({{gg::server_id("s" + std::to_string(version)), std::nullopt, version}},
-                      version, start);
+        servers.apply({{gg::server_id("s" + std::to_string(version)), std::nullopt, at(version)}},
+                      at(version), start);
     }
-    BOOST_TEST(!servers.changes_since(2, start).has_value());
-    BOOST_REQUIRE(servers.changes_since(3, start).has_value());
-    BOOST_TEST(servers.changes_since(3, start)->changes.size() == 2U);
+    BOOST_TEST(!servers.changes_since(at(2), start).has_value());
+    BOOST_REQUIRE(servers.changes_since(at(3), start).has_value());
+    BOOST_TEST(servers.changes_since(at(3), start)->changes.size() == 2U);
 }
 
 // Guards against eleven hosts that together overload a server, which never answers requests beyond
@@ -722,10 +751,13 @@
     entry.draining = true;
     entry.warmup_left = 1'200ms;
     answer.servers = gateway::directory_update{
-        9, 40ms, 700ms, {{entry.life.id, entry, 8}, {gg::server_id("i-2"), std::nullopt, 9}}};
+        at(9),
+        40ms,
+        700ms,
+        {{entry.life.id, entry, at(8)}, {gg::server_id("i-2"), std::nullopt, at(9)}}};
     BOOST_REQUIRE(decode(encode(answer), read_answer));
     BOOST_REQUIRE(read_answer.servers.has_value());
-    BOOST_TEST(read_answer.servers->version == 9U);
+    BOOST_CHECK(read_answer.servers->version == at(9));
     BOOST_CHECK(read_answer.servers->age == 40ms);
     BOOST_CHECK(read_answer.servers->regained_before == 700ms);
     BOOST_REQUIRE(read_answer.servers->changes.size() == 2U);
@@ -738,7 +770,7 @@
     BOOST_TEST(read_entry.draining);
     BOOST_CHECK(read_entry.warmup_left == 1'200ms);
     BOOST_TEST(!read_answer.servers->changes[1].entry.has_value());
-    BOOST_TEST(read_answer.servers->changes[1].version == 9U);
+    BOOST_CHECK(read_answer.servers->changes[1].version == at(9));
     std::string spoiled = encode(answer);
     spoiled.replace(spoiled.find("8080"), 4, "88080");
     BOOST_TEST(!decode(spoiled, read_answer));
@@ -1023,7 +1055,7 @@
     BOOST_TEST(test.ask("GET", "/keys/x", "300", "5").message.code == 200);
     gateway::server_entry leaving = *test.servers.find(gg::server_id("s1"));
     leaving.draining = true;
-    test.servers.apply({{gg::server_id("s1"), leaving, 2}}, 2, wire::event_loop::now());
+    test.servers.apply({{gg::server_id("s1"), leaving, at(2)}}, at(2), wire::event_loop::now());
     const gg::time_point now = wire::event_loop::now();
     test.front->set_servers(test.servers, now - 1'300ms, now);
     BOOST_TEST(test.ask("GET", "/keys/x", "300", "5").message.code == 200);
@@ -1138,7 +1170,7 @@
     BOOST_REQUIRE(told.size() > before);
     test.run_for(150ms);
     before = told.size();
-    test.servers.apply({{gg::server_id("c"), std::nullopt, 2}}, 2, wire::event_loop::now());
+    test.servers.apply({{gg::server_id("c"), std::nullopt, at(2)}}, at(2), wire::event_loop::now());
     coordinator.set_directory_confirmed_at(wire::event_loop::now());
     coordinator.on_directory_changed();
     test.run_for(150ms);
@@ -1234,13 +1266,45 @@
     BOOST_TEST(test.store.watches == 0);
     BOOST_TEST(seen.empty());
     const gg::time_point told = wire::event_loop::now() - 30ms;
-    watch.advance_to(1, told);
+    watch.advance_to(at(1), told);
     watch.set_paused(false);
     test.run_for(100ms);
     BOOST_CHECK(since == told);
     BOOST_TEST(seen == std::vector<std::string>{"missed"}, boost::test_tools::per_element());
 }
 
+// Guards against changes that a restored store gives a version which the watch has passed already.
+BOOST_AUTO_TEST_CASE(changes_of_a_restored_store_are_not_missed) {
+    coordination_fixture test;
+    std::map<std::string, std::string> rows;
+    bool after_outage = false;
+    gateway::table_watch watch(test.loop, test.store, *test.log, "t", 0ms,
+                               [&](const gateway::table_update& update) {
+                                   if (update.whole) {
+                                       rows.clear();
+                                   }
+                                   after_outage = after_outage || update.after_outage;
+                                   for (const gateway::stored_row& row : update.content.rows) {
+                                       rows[row.key] = row.value;
+                                   }
+                               });
+    watch.start();
+    test.store.put("t", "kept", "1");
+    test.store.take_copy();
+    test.store.put("t", "lost", "1");
+    test.store.put("t", "lost", "2");
+    test.run_for(100ms);
+    test.store.restore();
+    test.store.put("t", "new", "1");
+    test.store.put("t", "newer", "1");
+    test.store.put("t", "newest", "1");
+    test.run_for(100ms);
+    const std::map<std::string, std::string> expected{
+        {"kept", "1"}, {"new", "1"}, {"newer", "1"}, {"newest", "1"}};
+    BOOST_CHECK(rows == expected);
+    BOOST_TEST(after_outage);
+}
+
 // Guards against receiving a configuration seconds late after a network interruption: the answer to
 // a call made before it is delayed until TCP retransmits its packets.
 BOOST_AUTO_TEST_CASE(delayed_watch_answers_are_requested_again) {
