Keep servers that leave from coming back with a restored store

Entries now keep the server's report number (sequence). An entry of a later era that is not newer than what was known of the same instance does not end its draining. For an instance that had gone, it is used only if the store still has it after 4 s, since the store removes a silent server's entry after three heartbeat intervals. The coordinator relays the numbers; hosts of an earlier release ignore them.

gateway_test restored_entries_do_not_bring_leaving_servers_back fails without the comparison and passes with it.

--- a/libs/gateway/include/gateway/directory.h
+++ b/libs/gateway/include/gateway/directory.h
@@ -23,6 +23,8 @@
     /// Number of requests that it processes concurrently.
     int slots = 1;
     bool draining = false;
+    /// Counts the reports of the server instance, up to the one that last changed the entry.
+    std::uint64_t sequence = 0;
     /// Remaining time during which the server is slow after its start, counted from the arrival of
     /// the entry.
     milliseconds warmup_left{0};
@@ -53,6 +55,9 @@
     /// again within about two seconds, according to the platform's users; the time that a request
     /// may take in transit is subtracted.
     milliseconds reregistration_time{1'900};
+    /// Time for which an entry of a server that had gone is not used after the store came back from
+    /// an older copy. The store removes such entries after three heartbeat intervals of silence.
+    milliseconds restored_entry_delay{4'000};
     /// Number of removals that are kept for updates to other hosts: several times the number of
     /// servers that leave in the largest deployment within the 20 s of the store's history.
     std::size_t max_removed = 512;
@@ -79,8 +84,9 @@
     void apply(const directory_update& update, time_point now);
     /// Store version up to which the directory is complete.
     store_version version() const { return this->known_version; }
-    /// Removes entries whose servers haven't registered again in time.
-    /// @return  whether any was removed
+    /// Removes entries whose servers haven't registered again in time, and adds entries of restored
+    /// stores that have proved to be of live servers.
+    /// @return  whether any was removed or added
     bool expire(time_point now);
     /// Whether the server's entry lapsed during an outage of the store and the server hasn't
     /// registered again yet.
@@ -94,7 +100,24 @@
     bool loaded() const { return this->has_content; }
 
 private:
+    /// What was last known of a server, also after it has left.
+    struct record {
+        ranges::server_instance life;
+        std::uint64_t sequence = 0;
+        bool draining = false;
+        bool removed = false;
+        store_version version;
+    };
+    /// An entry that is used if the store still has it at a later time.
+    struct delayed_entry {
+        server_change change;
+        time_point usable_at;
+    };
+
     void apply_one(const server_change& change, time_point now);
+    bool is_older_copy(const server_change& change) const;
+    /// Records a change that is newer than the last known one of the same server.
+    void accept(const server_change& change, time_point now);
     void remove(const server_id& id, time_point now);
     void prune_removed();
 
@@ -104,6 +127,8 @@
     std::map<server_id, time_point> awaiting_reregistration;
     /// Store version of the last change of each server, including removed ones.
     std::map<server_id, store_version> last_changed_version;
+    std::map<server_id, record> records;
+    std::map<server_id, delayed_entry> delayed;
     /// Servers that are no longer in the store, by the store version of their removal.
     std::multimap<store_version, server_id> removed;
     store_version known_version;
--- a/libs/gateway/src/directory.cpp
+++ b/libs/gateway/src/directory.cpp
@@ -36,9 +36,29 @@
     this->awaiting_reregistration.erase(id);
 }
 
+/// Whether the entry was copied before the server reported that it drains, or before it left, and
+/// came back with the copy.
+bool directory::is_older_copy(const server_change& change) const {
+    const auto known = this->records.find(change.id);
+    return change.entry && known != this->records.end() &&
+           change.version.era > known->second.version.era &&
+           change.entry->life == known->second.life &&
+           change.entry->sequence <= known->second.sequence &&
+           (known->second.removed || (known->second.draining && !change.entry->draining));
+}
+
 void directory::apply_one(const server_change& change, time_point now) {
-    store_version& changed = this->last_changed_version[change.id];
-    if (change.version < changed) {
+    const auto last = this->last_changed_version.find(change.id);
+    if (last != this->last_changed_version.end() && change.version < last->second) {
+        return;
+    }
+    this->delayed.erase(change.id);
+    if (this->is_older_copy(change)) {
+        if (this->records.at(change.id).removed) {
+            // Only the store's removal tells a server that has ended from one that is alive, since
+            // a report that says nothing new does not change the entry.
+            this->delayed[change.id] = {change, now + this->settings.restored_entry_delay};
+        }
         return;
     }
     const server_entry* const known = this->find(change.id);
@@ -46,6 +66,11 @@
         !this->awaiting_reregistration.contains(change.id)) {
         return;
     }
+    this->accept(change, now);
+}
+
+void directory::accept(const server_change& change, time_point now) {
+    store_version& changed = this->last_changed_version[change.id];
     // At most one removal per server is kept, also if it is repeated or the server comes back.
     const auto [first, last] = this->removed.equal_range(changed);
     const auto before = std::find_if(
@@ -54,7 +79,13 @@
         this->removed.erase(before);
     }
     changed = change.version;
+    record& known = this->records[change.id];
+    known.version = change.version;
+    known.removed = !change.entry.has_value();
     if (change.entry) {
+        known.life = change.entry->life;
+        known.sequence = change.entry->sequence;
+        known.draining = change.entry->draining;
         this->entries[change.id] = *change.entry;
         this->awaiting_reregistration.erase(change.id);
     } else {
@@ -69,6 +100,7 @@
         const auto oldest = this->removed.begin();
         this->oldest_complete_version = std::max(this->oldest_complete_version, oldest->first);
         this->last_changed_version.erase(oldest->second);
+        this->records.erase(oldest->second);
         this->removed.erase(oldest);
     }
 }
@@ -93,6 +125,8 @@
             present.insert(change.id);
         }
     }
+    std::erase_if(this->delayed,
+                  [&present](const auto& entry) { return !present.contains(entry.first); });
     std::vector<server_change> changes = current;
     for (const auto& [id, entry] : this->entries) {
         if (!present.contains(id)) {
@@ -145,7 +179,17 @@
             ++entry;
         }
     }
-    return expired;
+    std::vector<server_change> usable;
+    for (const auto& [id, entry] : this->delayed) {
+        if (entry.usable_at <= now) {
+            usable.push_back(entry.change);
+        }
+    }
+    for (const server_change& change : usable) {
+        this->delayed.erase(change.id);
+        this->accept(change, now);
+    }
+    return expired || !usable.empty();
 }
 
 const server_entry* directory::find(const server_id& id) const {
--- a/libs/gateway/src/reports.cpp
+++ b/libs/gateway/src/reports.cpp
@@ -62,14 +62,10 @@
     return change;
 }
 
-/// Hosts that run an earlier release send no era.
-store_version decode_version(const nlohmann::json& parsed, const char* number, const char* era) {
-    const auto field = [&parsed](const char* name) {
-        return parsed.contains(name) && parsed[name].is_number_unsigned()
-                   ? parsed[name].get<std::uint64_t>()
-                   : 0;
-    };
-    return {field(era), field(number)};
+/// 0 if there is no such field: hosts that run an earlier release send neither eras nor sequences.
+std::uint64_t number_or_zero(const nlohmann::json& parsed, const std::string& name) {
+    const auto found = parsed.find(name);
+    return found != parsed.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
 }
 
 bool decode_directory_update(const nlohmann::json& parsed, directory_update& update) {
@@ -80,7 +76,7 @@
         return false;
     }
     update.age = milliseconds(parsed["age"].get<std::int64_t>());
-    update.version = decode_version(parsed, "version", "era");
+    update.version = {number_or_zero(parsed, "era"), number_or_zero(parsed, "version")};
     if (parsed.contains("regained_before")) {
         if (!parsed["regained_before"].is_number_unsigned()) {
             return false;
@@ -93,6 +89,9 @@
             return false;
         }
         change->version.era = update.version.era;
+        if (change->entry && parsed.contains("sequences") && parsed["sequences"].is_object()) {
+            change->entry->sequence = number_or_zero(parsed["sequences"], change->id.value());
+        }
         update.changes.push_back(std::move(*change));
     }
     return true;
@@ -155,7 +154,7 @@
                       : 0;
     report.at_once = parsed.contains("at_once") && parsed["at_once"].is_boolean() &&
                      parsed["at_once"].get<bool>();
-    report.servers = decode_version(parsed, "servers", "servers_era");
+    report.servers = {number_or_zero(parsed, "servers_era"), number_or_zero(parsed, "servers")};
     if (parsed.contains("owners") && parsed["owners"].is_object()) {
         for (const auto& [service, version] : parsed["owners"].items()) {
             if (!version.is_number_unsigned()) {
@@ -214,6 +213,9 @@
         written["changes"] = nlohmann::json::array();
         for (const server_change& change : answer.servers->changes) {
             written["changes"].push_back(encode_change(change));
+            if (change.entry) {
+                written["sequences"][change.id.value()] = change.entry->sequence;
+            }
         }
     }
     for (const auto& [service, update] : answer.owners) {
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -650,6 +650,50 @@
     BOOST_TEST(first.changes_since(at(15), start)->changes.empty());
 }
 
+// Guards against requests to a server that leaves, or has left, after the store came back from a
+// copy in which it is still ready.
+BOOST_AUTO_TEST_CASE(restored_entries_do_not_bring_leaving_servers_back) {
+    gateway::directory servers{gateway::directory_settings{}};
+    const auto change = [](const std::string& id, std::uint64_t sequence, bool draining,
+                           const gateway::store_version& version) {
+        gateway::server_entry entry;
+        entry.life = {gg::server_id(id), 1};
+        entry.sequence = sequence;
+        entry.draining = draining;
+        return gateway::server_change{entry.life.id, entry, version};
+    };
+    const gg::server_id leaving("leaving");
+    const gg::server_id left("left");
+    const gg::server_id alive("alive");
+    servers.replace({change("leaving", 1, false, {1, 1}), change("left", 1, false, {1, 2}),
+                     change("alive", 1, false, {1, 3})},
+                    {1, 3}, start);
+    servers.apply({change("leaving", 30, true, {1, 10}),
+                   {left, std::nullopt, {1, 11}},
+                   {alive, std::nullopt, {1, 12}}},
+                  {1, 12}, start);
+    // The copy of version 3 comes back.
+    servers.note_store_recovered(start);
+    servers.replace({change("leaving", 1, false, {2, 1}), change("left", 1, false, {2, 2}),
+                     change("alive", 1, false, {2, 3})},
+                    {2, 4}, start);
+    BOOST_REQUIRE(servers.find(leaving) != nullptr);
+    BOOST_TEST(servers.find(leaving)->draining);
+    BOOST_TEST((servers.find(left) == nullptr));
+    BOOST_TEST((servers.find(alive) == nullptr));
+    // The store removes the entry of the server that has ended, and keeps that of the other one.
+    servers.apply({{left, std::nullopt, {2, 9}}}, {2, 9}, start + 3s);
+    BOOST_TEST(servers.expire(start + 4s));
+    BOOST_TEST((servers.find(left) == nullptr));
+    BOOST_TEST((servers.find(alive) != nullptr));
+    // A new instance under the same id counts at once, and so does a later report.
+    gateway::server_change restarted = change("leaving", 1, false, {2, 10});
+    restarted.entry->life.start_time_ms = 2;
+    servers.apply({restarted, change("left", 2, false, {2, 11})}, {2, 11}, start + 5s);
+    BOOST_TEST(!servers.find(leaving)->draining);
+    BOOST_TEST((servers.find(left) != nullptr));
+}
+
 // Guards against a host that removes a lapsed entry because only the coordinator, not the host
 // itself, has noticed the outage of the store.
 BOOST_AUTO_TEST_CASE(lapsed_entries_are_kept_by_other_hosts_too) {
@@ -749,15 +793,16 @@
     entry.data_centre = gg::data_centre_id("dc");
     entry.slots = 3;
     entry.draining = true;
+    entry.sequence = 12;
     entry.warmup_left = 1'200ms;
     answer.servers = gateway::directory_update{
-        at(9),
+        {2, 9},
         40ms,
         700ms,
-        {{entry.life.id, entry, at(8)}, {gg::server_id("i-2"), std::nullopt, at(9)}}};
+        {{entry.life.id, entry, {2, 8}}, {gg::server_id("i-2"), std::nullopt, {2, 9}}}};
     BOOST_REQUIRE(decode(encode(answer), read_answer));
     BOOST_REQUIRE(read_answer.servers.has_value());
-    BOOST_CHECK(read_answer.servers->version == at(9));
+    BOOST_CHECK((read_answer.servers->version == gateway::store_version{2, 9}));
     BOOST_CHECK(read_answer.servers->age == 40ms);
     BOOST_CHECK(read_answer.servers->regained_before == 700ms);
     BOOST_REQUIRE(read_answer.servers->changes.size() == 2U);
@@ -768,9 +813,10 @@
     BOOST_TEST(read_entry.data_centre.value() == "dc");
     BOOST_TEST(read_entry.slots == 3);
     BOOST_TEST(read_entry.draining);
+    BOOST_TEST(read_entry.sequence == 12U);
     BOOST_CHECK(read_entry.warmup_left == 1'200ms);
     BOOST_TEST(!read_answer.servers->changes[1].entry.has_value());
-    BOOST_CHECK(read_answer.servers->changes[1].version == at(9));
+    BOOST_CHECK((read_answer.servers->changes[1].version == gateway::store_version{2, 9}));
     std::string spoiled = encode(answer);
     spoiled.replace(spoiled.find("8080"), 4, "88080");
     BOOST_TEST(!decode(spoiled, read_answer));
