Let the lease manager take over owners that may be outdated

A coordinator that takes over from a restored store reads owners that may be older than the leases in force, and granted keys by them at once.

adopt_unverified keeps all keys until the leases of earlier coordinators have expired, also where an owner is found to have ended or restarted, and then gives each range to its owner in the table; it also delays the first assignment if the table is empty. raise_fences lets a coordinator that goes on after a restore use fences of the new era.

ranges_test unverified_owners_get_no_grant_before_all_leases_expire covers what adopt grants at once.

--- a/libs/ranges/include/ranges/lease_manager.h
+++ b/libs/ranges/include/ranges/lease_manager.h
@@ -113,6 +113,15 @@
     /// Replaces all leases by those of the stored table, at the start of a coordinator's term.
     /// Leases of earlier coordinators are assumed to last for `outage_lease_duration` from `now`.
     void adopt(const range_table& stored, time_point now);
+    /// Like `adopt`, for a table that may be older than the leases in force: any server may own any
+    /// key. No key is granted until leases of earlier coordinators have expired; then each range
+    /// goes to the owner in the table, if that server may own keys.
+    /// @param granting  time for which an earlier coordinator may still grant leases
+    void adopt_unverified(const range_table& stored, milliseconds granting, time_point now);
+    /// Whether keys still wait for the leases of earlier coordinators, see `adopt_unverified`.
+    bool has_unverified(time_point now) const;
+    /// Makes all further fencing tokens at least `first`.
+    void raise_fences(epoch first);
     /// Sets whether the store is unavailable. Leases are granted for `outage_lease_duration` then.
     void set_store_unavailable(bool unavailable) { this->store_unavailable = unavailable; }
     /// Replaces the known servers. Starts the release of ranges whose owner is absent, no longer
@@ -171,6 +180,8 @@
         std::string handover;
         /// The owner has confirmed a grant of this coordinator.
         bool confirmed = false;
+        /// The owner is not known: any server may have a lease until `latest_expiry`.
+        bool unverified = false;
         /// Requests may be sent to the owner: it has a grant of this or an earlier coordinator.
         bool routable = false;
         /// A command has been sent and its outcome is not recorded yet.
@@ -229,6 +240,8 @@
     std::optional<std::vector<lease>> pending;
     std::size_t last_candidate_count = 0;
     time_point candidates_changed;
+    /// Earliest time of the first assignment of all keys.
+    time_point first_assignment_at;
     bool higher_fence_seen = false;
     bool store_unavailable = false;
 };
--- a/libs/ranges/src/lease_manager.cpp
+++ b/libs/ranges/src/lease_manager.cpp
@@ -59,6 +59,31 @@
     this->next_fence = this->next_fence.next();
 }
 
+void lease_manager::adopt_unverified(const range_table& stored, milliseconds granting,
+                                     time_point now) {
+    this->adopt(stored, now);
+    const time_point expiry =
+        now + granting + this->max_lease_time(this->settings.outage_lease_duration);
+    this->first_assignment_at = expiry;
+    for (lease& entry : this->leases) {
+        entry.state = phase::expiring;
+        entry.unverified = true;
+        entry.routable = false;
+        entry.destination = entry.owner;
+        entry.latest_expiry = expiry;
+    }
+}
+
+bool lease_manager::has_unverified(time_point now) const {
+    return now < this->first_assignment_at ||
+           std::any_of(this->leases.begin(), this->leases.end(),
+                       [](const lease& entry) { return entry.unverified; });
+}
+
+void lease_manager::raise_fences(epoch first) {
+    this->next_fence = std::max(this->next_fence, first);
+}
+
 const candidate* lease_manager::find_candidate(const server_instance& instance) const {
     const auto found =
         std::find_if(this->candidates.begin(), this->candidates.end(),
@@ -106,7 +131,7 @@
 
 void lease_manager::set_instance_ended(const server_instance& instance, time_point now) {
     for (lease& entry : this->leases) {
-        if (entry.owner == instance) {
+        if (entry.owner == instance && !entry.unverified) {
             free_immediately(entry, now);
             entry.destination.reset();
         }
@@ -121,7 +146,7 @@
     }
     for (lease& entry : this->leases) {
         const candidate* const restarted = this->find_restarted_instance(entry.owner);
-        if (restarted != nullptr && entry.state != phase::free) {
+        if (restarted != nullptr && entry.state != phase::free && !entry.unverified) {
             begin_release_by_restarted(entry, *restarted, now);
             continue;
         }
@@ -140,6 +165,7 @@
             now >= entry.latest_expiry) {
             // The lease has expired, so an unanswered release need not be waited for.
             entry.state = phase::free;
+            entry.unverified = false;
         }
         if (entry.in_flight || now < entry.next_send || entry.state == phase::expiring ||
             entry.state == phase::free) {
@@ -323,7 +349,8 @@
     }
     std::vector<lease> planned = this->leases;
     if (planned.empty()) {
-        if (now - this->candidates_changed < this->settings.registration_quiet_time) {
+        if (now < this->first_assignment_at ||
+            now - this->candidates_changed < this->settings.registration_quiet_time) {
             return std::nullopt;
         }
         // The first assignment gives each server one contiguous range in proportion to its weight.
--- a/libs/ranges/tests/ranges_test.cpp
+++ b/libs/ranges/tests/ranges_test.cpp
@@ -112,6 +112,42 @@
     BOOST_TEST(ranges::changes_between(make(), {}).empty());
 }
 
+// Guards against grants by a table that may be older than the leases in force: also if its owners
+// are found to have ended or restarted, or if it is empty.
+BOOST_AUTO_TEST_CASE(unverified_owners_get_no_grant_before_all_leases_expire) {
+    const ranges::lease_settings settings;
+    constexpr gg::milliseconds granting{2'000};
+    const gg::time_point expiry =
+        start + granting + settings.outage_lease_duration * 100 / 98 + settings.max_delivery_delay;
+    for (const bool empty : {false, true}) {
+        ranges::lease_manager manager(settings, gg::epoch(100));
+        ranges::range_table stored;
+        if (!empty) {
+            stored.ranges = {{{0, 9}, instance("a")},
+                             {{10, 19}, instance("gone")},
+                             {{20, ranges::last_key}, instance("again")}};
+        }
+        manager.adopt_unverified(stored, granting, start);
+        std::vector<ranges::candidate> candidates = servers({"a", "b"});
+        candidates.push_back({instance("again", 2), 1, true});
+        manager.set_candidates(candidates, start);
+        manager.set_instance_ended(instance("gone"), start);
+        for (gg::time_point now = start; now + 100ms < expiry; now += 100ms) {
+            BOOST_TEST(manager.due_commands(now).empty());
+            BOOST_TEST(!manager.plan({}, now).has_value());
+            BOOST_TEST(manager.has_unverified(now));
+        }
+        const gg::time_point later = expiry + 100ms;
+        BOOST_TEST(manager.due_commands(later).empty());
+        const auto table = manager.plan({}, later);
+        BOOST_REQUIRE(table.has_value());
+        BOOST_TEST(!manager.has_unverified(later));
+        if (!empty) {
+            BOOST_TEST(ranges::owner_of(*table, 0)->id.value() == "a");
+        }
+    }
+}
+
 // Guards against assigning all keys to the servers that register first.
 BOOST_AUTO_TEST_CASE(first_assignment_waits_for_registrations) {
     const ranges::lease_settings settings;
