Write term and owners again after the store was restored

Cause: a new coordinator believed the restored owners and granted by them while the leases of the lost ones ran, and its term, and so its fences, repeated those of a lost term. Other hosts took the restored term for the present one.

The term's row now says in which era it was written and in which era the owners are complete. The coordinator that is followed by most hosts writes its term and all owners again in one transaction, and changes no owner until that is done; hosts keep to a later term that they know. A host that takes over while the owners are not known to be complete grants nothing until all earlier leases have expired, about 6 s. Fences have the era above the term.

gateway_test coordinator_writes_its_owners_again_after_a_restore and restored_owners_get_no_grant_before_lost_leases_expire failed before (three overlapping grants); owners_written_after_a_restore_are_adopted_at_once guards against waiting where the owners are complete.

--- a/libs/gateway/include/gateway/coordinator.h
+++ b/libs/gateway/include/gateway/coordinator.h
@@ -71,6 +71,9 @@
     /// A coordinator that has had neither access to the store nor reports from other hosts for this
     /// long stops renewing leases, as another host may have taken over.
     milliseconds isolation_timeout{2'000};
+    /// Delay before a host that knows the term only from a restored store takes over. The
+    /// coordinator before the restore, if it is alive, writes its term again first.
+    milliseconds restored_takeover_delay{1'000};
     /// Age up to which directory data may be relayed by the coordinator and used by other hosts. It
     /// covers one wait in the store, one held report and the round trips of both.
     milliseconds relay_max_age{1'200};
--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -15,9 +15,11 @@
 
 /// Key of the only row of `term_table`.
 constexpr std::string_view term_row = "coordinator";
-/// Bits of a fencing token that count the grants of one term; the term is in the bits above. More
-/// than 2^24 grants in a term would overlap with the next term's tokens.
+/// A fencing token consists of the era of the store, the term and the number of the grant. With the
+/// era, tokens rise although a restored store gives out terms again. More than 2^24 grants in a
+/// term would overlap with the next term's tokens, and more than 2^20 terms with the next era's.
 constexpr unsigned fence_term_shift = 24;
+constexpr unsigned fence_era_shift = 44;
 constexpr milliseconds commit_retry_delay{150};
 /// Number of owner changes that are kept for incremental updates; hosts that are further behind get
 /// the whole table.
@@ -41,10 +43,22 @@
     /// Identity of the coordinator's process; empty if the last coordinator has resigned.
     std::string host;
     std::optional<wire::endpoint> address;
+    /// Era of the store in which the term was written. Empty in rows of earlier releases, like
+    /// `owners_era`.
+    std::optional<std::uint64_t> era;
+    /// Era of the store in which the stored owners are known to be complete. In a later one they
+    /// may be older than the leases in force.
+    std::optional<std::uint64_t> owners_era;
 };
 
 std::string encode(const term_content& term) {
     nlohmann::json text;
+    if (term.era) {
+        text["era"] = *term.era;
+    }
+    if (term.owners_era) {
+        text["owners_era"] = *term.owners_era;
+    }
     text["term"] = term.number;
     text["host"] = term.host;
     text["address"] =
@@ -62,6 +76,13 @@
     term_content term;
     term.number = parsed["term"].get<std::uint64_t>();
     term.host = parsed["host"].get<std::string>();
+    for (const auto& [name, field] :
+         {std::pair{"era", &term.era}, std::pair{"owners_era", &term.owners_era}}) {
+        const auto value = parsed.find(name);
+        if (value != parsed.end() && value->is_number_unsigned()) {
+            *field = value->get<std::uint64_t>();
+        }
+    }
     if (const auto address = wire::parse_endpoint(parsed["address"].get<std::string>())) {
         term.address = *address;
     }
@@ -116,6 +137,17 @@
     std::map<std::pair<std::string, std::string>, stored_row> rows{};
     bool table_loaded = false;
     std::optional<term_content> term{};
+    /// Content of the cached term row, which is not `term` if the row was restored from a copy.
+    std::optional<term_content> stored_term{};
+    /// Latest era that the store has stated.
+    std::optional<std::uint64_t> store_era{};
+    /// The store came back from a copy since this host wrote its term, or the stored owners are not
+    /// marked as complete yet. Until the term and the owners are written again, no owner changes.
+    bool needs_reassertion = false;
+    bool reasserting = false;
+    /// The owners were complete in the store when this host took over, or all leases that may have
+    /// been granted without being stored have expired since.
+    bool owners_verified = true;
     /// Identifies this process in the term row; the host name alone would not, as the process may
     /// restart.
     std::string identity{};
@@ -174,6 +206,13 @@
     }
 
     bool cache_row(std::string_view table, const stored_row& row);
+    void note_content(std::string_view table, const table_content& content, bool whole);
+    bool is_restored_copy(const stored_row& row, const term_content& read) const;
+    epoch first_fence() const;
+    bool followed_by_most_hosts(time_point now) const;
+    void reassert_term();
+    void write_term_and_owners();
+    void end_reassertion(bool written);
     void on_term_row(const stored_row& row);
     void read_rows(const std::function<void(bool)>& done);
     void report();
@@ -195,6 +234,7 @@
     void start_coordinating(std::uint64_t number);
     void step_down(std::string_view reason);
     void tick();
+    void adopt_owners(const service_id& service, managed_service& own, time_point now);
     void update_leases(const service_id& service, time_point now);
     void apply_report(const host_report& report, time_point now);
     void send(const service_id& service, const ranges::lease_command& what);
@@ -243,6 +283,7 @@
     if (whole) {
         own.table_loaded = true;
     }
+    own.note_content(term_table, content, whole);
     for (const stored_row& row : content.rows) {
         if (row.key == term_row) {
             own.on_term_row(row);
@@ -250,6 +291,44 @@
     }
 }
 
+/// Notices a new era of the store, and forgets the rows that the store has lost.
+/// @param whole  `content` holds all rows of the table
+void coordinator::state::note_content(std::string_view table, const table_content& content,
+                                      bool whole) {
+    const std::uint64_t era = content.version.era;
+    if (this->store_era && era > *this->store_era) {
+        this->needs_reassertion = this->leading;
+        telemetry::log_warning(this->log, "store_era_changed",
+                               {{"era", era}, {"coordinating", this->leading}});
+    }
+    this->store_era = std::max(era, this->store_era.value_or(era));
+    if (!whole) {
+        return;
+    }
+    std::erase_if(this->rows, [&](const auto& entry) {
+        return entry.first.first == table && entry.second.version.era < era &&
+               std::none_of(
+                   content.rows.begin(), content.rows.end(),
+                   [&entry](const stored_row& row) { return row.key == entry.first.second; });
+    });
+    if (table == term_table && !this->rows.contains({std::string(table), std::string(term_row)})) {
+        this->stored_term.reset();
+    }
+}
+
+/// Whether the term row is a copy from before the store was restored, and this host knows a later
+/// term, or the same one, from the time that was lost.
+bool coordinator::state::is_restored_copy(const stored_row& row, const term_content& read) const {
+    return read.era && *read.era < row.version.era && this->term &&
+           read.number <= this->term->number;
+}
+
+/// Lowest fencing token of this host's term.
+epoch coordinator::state::first_fence() const {
+    return epoch((this->store_era.value_or(0) << fence_era_shift) +
+                 (this->term->number << fence_term_shift) + 1);
+}
+
 /// Stores a row if it is newer than the known one.
 /// @return  whether it was
 bool coordinator::state::cache_row(std::string_view table, const stored_row& row) {
@@ -270,6 +349,13 @@
         telemetry::log_error(this->log, "term_row_malformed", {{"version", row.version.number}});
         return;
     }
+    this->stored_term = *read;
+    if (this->is_restored_copy(row, *read)) {
+        telemetry::log_info(
+            this->log, "term_row_restored",
+            {{"term", read->number}, {"known_term", this->term->number}, {"era", row.version.era}});
+        return;
+    }
     this->term = *read;
     this->missed_reports = 0;
     this->coordinator_without_store = false;
@@ -306,6 +392,7 @@
     this->store.read(std::string(owners_table),
                      [this, finish](const result<table_content>& owner_rows) {
                          if (owner_rows) {
+                             this->note_content(owners_table, *owner_rows, true);
                              for (const stored_row& row : owner_rows->rows) {
                                  this->cache_row(owners_table, row);
                              }
@@ -314,6 +401,7 @@
                      });
     this->store.read(std::string(term_table), [this, finish](const result<table_content>& terms) {
         if (terms) {
+            this->note_content(term_table, *terms, true);
             for (const stored_row& row : terms->rows) {
                 if (row.key == term_row) {
                     this->on_term_row(row);
@@ -447,7 +535,12 @@
         return;
     }
     const std::uint64_t lost = this->term ? this->term->number : 0;
-    const milliseconds backoff = takeover_delay(this->settings);
+    const bool restored = this->term && this->term->era && this->store_era &&
+                          *this->term->era < *this->store_era && this->stored_term &&
+                          this->stored_term->number == this->term->number;
+    const milliseconds backoff =
+        takeover_delay(this->settings) +
+        (restored ? this->settings.restored_takeover_delay : milliseconds{0});
     telemetry::log_info(this->log, "coordinator_lost",
                         {{"reason", reason}, {"term", lost}, {"restraint", backoff}});
     if (backoff == milliseconds{0}) {
@@ -486,6 +579,11 @@
     new_term.number = (this->term ? this->term->number : 0) + 1;
     new_term.host = this->identity;
     new_term.address = this->settings.address;
+    new_term.era = this->store_era;
+    // Without a row, there are no owners yet, unless a restored store has lost them.
+    new_term.owners_era = this->stored_term ? this->stored_term->owners_era
+                          : this->term      ? std::optional<std::uint64_t>(0)
+                                            : this->store_era;
     stored_row row;
     row.table = std::string(term_table);
     row.key = std::string(term_row);
@@ -545,13 +643,17 @@
     this->last_tick = now;
     this->last_balance = now;
     this->last_store_contact = now;
-    telemetry::log_info(this->log, "coordinating", {{"term", number}});
+    this->needs_reassertion = false;
+    this->owners_verified = !this->term->owners_era || this->term->owners_era == this->store_era;
+    telemetry::log_info(this->log, "coordinating",
+                        {{"term", number}, {"owners_verified", this->owners_verified}});
     this->tick();
 }
 
 void coordinator::state::step_down(std::string_view reason) {
     if (this->leading) {
         this->leading = false;
+        this->needs_reassertion = false;
         this->managed.clear();
         this->answer_held_reports(true, wire::event_loop::now());
         telemetry::log_info(this->log, "coordination_ended",
@@ -592,6 +694,17 @@
         this->last_store_outage = now;
     }
     this->answer_held_reports(false, now);
+    if (!this->owners_verified && !this->managed.empty() &&
+        std::none_of(this->managed.begin(), this->managed.end(), [now](const auto& entry) {
+            return entry.second.keeper.has_unverified(now);
+        })) {
+        this->owners_verified = true;
+        this->needs_reassertion = true;
+    }
+    this->reassert_term();
+    if (!this->leading) {
+        return;
+    }
     if (!this->is_isolated(now) && this->config && this->servers.loaded()) {
         for (const auto& [id, service] : this->config->services) {
             if (service.divided) {
@@ -603,7 +716,7 @@
             this->last_balance = now;
             for (auto& [id, service] : this->managed) {
                 service.load.decay(now);
-                if (!service.committing && this->store_ok) {
+                if (!service.committing && this->store_ok && !this->needs_reassertion) {
                     service.keeper.balance(service.load, now);
                 }
             }
@@ -620,6 +733,99 @@
     this->loop.call_after(this->settings.tick_interval, [this] { this->tick(); });
 }
 
+/// Whether most of the hosts that reported in the last seconds still do. Otherwise another host may
+/// have taken over in the time that the store has lost.
+bool coordinator::state::followed_by_most_hosts(time_point now) const {
+    const auto following =
+        std::count_if(this->reports.begin(), this->reports.end(), [this, now](const auto& entry) {
+            return now - entry.second < this->settings.isolation_timeout / 2;
+        });
+    return 2 * static_cast<std::size_t>(following) >= this->reports.size();
+}
+
+/// After the store came back from an older copy, writes the term and the owners that this host
+/// knows over those of the copy.
+void coordinator::state::reassert_term() {
+    const bool committing = std::any_of(this->managed.begin(), this->managed.end(),
+                                        [](const auto& entry) { return entry.second.committing; });
+    if (!this->needs_reassertion || this->reasserting || committing || !this->store_reachable) {
+        return;
+    }
+    if (!this->followed_by_most_hosts(wire::event_loop::now())) {
+        this->step_down("most hosts do not report after a restore of the store");
+        this->read_and_take_over();
+        return;
+    }
+    this->reasserting = true;
+    this->read_rows([this](bool done) {
+        const bool confirmed = done && this->leading && this->term->host == this->identity;
+        if (!confirmed || !this->needs_reassertion) {
+            this->end_reassertion(false);
+            return;
+        }
+        this->write_term_and_owners();
+    });
+}
+
+void coordinator::state::write_term_and_owners() {
+    term_content next = *this->term;
+    next.era = this->store_era;
+    next.owners_era = this->owners_verified ? this->store_era : this->term->owners_era;
+    stored_row term_entry;
+    term_entry.table = std::string(term_table);
+    term_entry.key = std::string(term_row);
+    term_entry.version = this->version_of(term_table, term_entry.key);
+    std::vector<stored_row> expected{term_entry};
+    term_entry.value = encode(next);
+    std::vector<stored_row> written{term_entry};
+    for (const auto& [service, own] : this->managed) {
+        const ranges::range_table table = own.keeper.table();
+        if (table.ranges.empty()) {
+            continue;
+        }
+        stored_row owners_entry;
+        owners_entry.table = std::string(owners_table);
+        owners_entry.key = service.value();
+        owners_entry.version = this->version_of(owners_table, owners_entry.key);
+        expected.push_back(owners_entry);
+        owners_entry.value = ranges::encode(table);
+        written.push_back(owners_entry);
+    }
+    this->store.commit(expected, written, [this, next](commit_outcome outcome) {
+        if (outcome == commit_outcome::rejected) {
+            this->end_reassertion(false);
+            return;
+        }
+        // The outcome may be unknown, and the versions of the new rows are needed.
+        this->read_rows([this, next](bool done) {
+            this->end_reassertion(
+                done && this->leading && this->stored_term &&
+                this->stored_term->host == this->identity && this->stored_term->era == next.era &&
+                this->stored_term->owners_era == next.owners_era && this->store_era == next.era);
+        });
+    });
+}
+
+/// @param written  the term and the owners of this host are in the store
+void coordinator::state::end_reassertion(bool written) {
+    if (!written) {
+        this->loop.call_after(commit_retry_delay, [this] { this->reasserting = false; });
+        return;
+    }
+    this->reasserting = false;
+    this->needs_reassertion = false;
+    this->term->era = this->stored_term->era;
+    this->term->owners_era = this->stored_term->owners_era;
+    for (auto& [service, own] : this->managed) {
+        own.late_commit_possible = false;
+        own.keeper.raise_fences(this->first_fence());
+    }
+    telemetry::log_info(this->log, "term_reasserted",
+                        {{"term", this->term->number},
+                         {"era", this->store_era.value_or(0)},
+                         {"owners_verified", this->owners_verified}});
+}
+
 void coordinator::state::apply_report(const host_report& report, time_point now) {
     for (const ranges::server_instance& life : report.ended) {
         this->ended.insert(life);
@@ -668,22 +874,37 @@
            std::clamp(std::exp(mean - speed->second), min_relative_speed, max_relative_speed);
 }
 
+/// Takes the stored owners over. If leases may be in force that the table does not show, no key is
+/// granted before they have expired.
+void coordinator::state::adopt_owners(const service_id& service, managed_service& own,
+                                      time_point now) {
+    ranges::range_table table;
+    bool verified = this->owners_verified;
+    if (const stored_row* row = this->owners_row(service)) {
+        if (auto stored = ranges::decode(row->value)) {
+            table = std::move(*stored);
+        } else {
+            verified = false;
+            telemetry::log_error(this->log, "owners_row_malformed",
+                                 {{"service", service.value()}, {"error", stored.error()}});
+        }
+    }
+    if (!verified) {
+        // A former coordinator stops granting when it has been isolated for this long.
+        own.keeper.adopt_unverified(table, this->settings.isolation_timeout, now);
+    } else if (!table.ranges.empty()) {
+        own.keeper.adopt(table, now);
+    }
+}
+
 void coordinator::state::update_leases(const service_id& service, time_point now) {
     auto found = this->managed.find(service);
     if (found == this->managed.end()) {
-        const epoch first((this->term->number << fence_term_shift) + 1);
         found = this->managed
-                    .emplace(service,
-                             managed_service(ranges::lease_manager(this->settings.keeper, first)))
+                    .emplace(service, managed_service(ranges::lease_manager(this->settings.keeper,
+                                                                            this->first_fence())))
                     .first;
-        if (const stored_row* row = this->owners_row(service)) {
-            if (auto stored = ranges::decode(row->value)) {
-                found->second.keeper.adopt(*stored, now);
-            } else {
-                telemetry::log_error(this->log, "owners_row_malformed",
-                                     {{"service", service.value()}, {"error", stored.error()}});
-            }
-        }
+        this->adopt_owners(service, found->second, now);
     }
     managed_service& own = found->second;
     std::map<wire::endpoint, const server_entry*> newest;
@@ -710,11 +931,12 @@
         }
     }
     own.keeper.set_candidates(candidates, now);
-    own.keeper.set_store_unavailable(!this->store_ok || !this->store_reachable);
+    own.keeper.set_store_unavailable(!this->store_ok || !this->store_reachable ||
+                                     this->needs_reassertion);
     for (const ranges::lease_command& what : own.keeper.due_commands(now)) {
         this->send(service, what);
     }
-    if (!own.committing) {
+    if (!own.committing && !this->needs_reassertion) {
         if (const auto table = own.keeper.plan(own.load, now)) {
             this->commit(service, *table);
         }
@@ -1021,8 +1243,15 @@
     if (!this->leading) {
         return;
     }
+    if (this->needs_reassertion) {
+        // The stored owners are outdated: the next coordinator needs those of this host.
+        this->loop.call_after(commit_retry_delay, [this] { this->vacate_term(); });
+        return;
+    }
     term_content vacant;
     vacant.number = this->term->number;
+    vacant.era = this->store_era;
+    vacant.owners_era = this->term->owners_era;
     stored_row row;
     row.table = std::string(term_table);
     row.key = std::string(term_row);
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -395,14 +395,49 @@
     void send(const wire::endpoint&, const ranges::lease_command& what,
               order_handler done) override {
         this->highest_fence = std::max(this->highest_fence, what.fence);
+        this->check(what, wire::event_loop::now());
         this->loop.call_after(
             1ms, [done = std::move(done)] { done(ranges::command_outcome::done, ""); });
     }
 
     gg::epoch highest_fence;
+    /// Grants of keys on which another server has a lease, and grants whose fence is not above
+    /// those that other servers have had.
+    int overlapping_grants = 0;
+    int repeated_fences = 0;
+    int releases = 0;
+    std::map<gg::server_id, int> grants;
 
 private:
+    struct lease {
+        gg::server_id server;
+        ranges::key_range keys;
+        gg::epoch fence;
+        gg::time_point until;
+    };
+
+    void check(const ranges::lease_command& what, gg::time_point now) {
+        const bool grant = what.action == ranges::lease_command::kind::grant;
+        (grant ? ++this->grants[what.server.id] : ++this->releases);
+        for (lease& other : this->leases) {
+            if (other.keys.first > what.keys.last || what.keys.first > other.keys.last) {
+                continue;
+            }
+            if (other.server == what.server.id) {
+                other.until = grant ? other.until : now;
+            } else if (grant) {
+                this->overlapping_grants += now < other.until ? 1 : 0;
+                this->repeated_fences += what.fence <= other.fence ? 1 : 0;
+            }
+        }
+        if (grant) {
+            this->leases.push_back(
+                {what.server.id, what.keys, what.fence, now + what.lease_duration});
+        }
+    }
+
     wire::event_loop& loop;
+    std::vector<lease> leases;
 };
 
 /// A host's connections to the store and the servers. Once `lost`, no call or answer gets through.
@@ -531,6 +566,29 @@
         this->servers.replace(entries, at(1), wire::event_loop::now());
     }
 
+    /// Makes server `a` leave, and lets its keys move to `b`.
+    void move_all_keys_to_b() {
+        gateway::server_entry leaving = *this->servers.find(gg::server_id("a"));
+        leaving.draining = true;
+        this->servers.apply({{leaving.life.id, leaving, at(2)}}, at(2), wire::event_loop::now());
+        this->run_for(500ms);
+    }
+    /// Whether the store names the server as the owner of each key.
+    bool stored_owner_is(const std::string& id) {
+        const auto read = ranges::decode(this->store.value(gateway::owners_table, "keys"));
+        return read && std::all_of(read->ranges.begin(), read->ranges.end(),
+                                   [&id](const ranges::range_owner& entry) {
+                                       return entry.owner.id.value() == id;
+                                   });
+    }
+    /// The store is away for a moment and comes back from its copy.
+    void restore_store() {
+        this->store.away = true;
+        this->run_for(300ms);
+        this->store.restore();
+        this->store.away = false;
+    }
+
     void add_host(const gateway::host_capacity& capacity) {
         this->hosts.push_back(std::make_unique<coordinating_host>(
             this->loop, this->store, this->orders, *this->log, this->servers,
@@ -550,7 +608,7 @@
 
     std::uint64_t term() const {
         // A fence consists of the term number and a 24-bit counter.
-        return this->orders.highest_fence.value() >> 24U;
+        return (this->orders.highest_fence.value() >> 24U) & 0xFFFFFU;
     }
 
     /// Index of the only coordinating host; -1 if there is none or more than one.
@@ -1319,6 +1377,84 @@
     BOOST_TEST(seen == std::vector<std::string>{"missed"}, boost::test_tools::per_element());
 }
 
+// Guards against a coordinator that cannot change owners any more after the store was restored, and
+// against the restored owners coming into force.
+BOOST_AUTO_TEST_CASE(coordinator_writes_its_owners_again_after_a_restore) {
+    coordination_fixture test;
+    test.add_hosts(3);
+    test.run_for(1'500ms);
+    const int first = test.coordinating();
+    BOOST_REQUIRE(first >= 0);
+    test.store.take_copy();
+    test.move_all_keys_to_b();
+    BOOST_REQUIRE(test.stored_owner_is("b"));
+    const int releases = test.orders.releases;
+    test.restore_store();
+    BOOST_REQUIRE(!test.stored_owner_is("b"));
+    test.run_for(1'000ms);
+    BOOST_TEST(test.coordinating() == first);
+    BOOST_TEST(test.stored_owner_is("b"));
+    BOOST_TEST(test.orders.releases == releases);
+    // Owners can change: the keys go back.
+    gateway::server_entry back = *test.servers.find(gg::server_id("a"));
+    back.draining = false;
+    gateway::server_entry leaving = *test.servers.find(gg::server_id("b"));
+    leaving.draining = true;
+    test.servers.apply({{back.life.id, back, at(3)}, {leaving.life.id, leaving, at(3)}}, at(3),
+                       wire::event_loop::now());
+    test.run_for(700ms);
+    BOOST_TEST(test.stored_owner_is("a"));
+    BOOST_TEST(test.orders.overlapping_grants == 0);
+    BOOST_TEST(test.orders.repeated_fences == 0);
+}
+
+// Guards against two owners of a key when the coordinator is lost as the store comes back from a
+// copy that names former owners, and against fences that are given out again.
+BOOST_AUTO_TEST_CASE(restored_owners_get_no_grant_before_lost_leases_expire) {
+    coordination_fixture test;
+    test.add_hosts(3);
+    test.run_for(1'500ms);
+    const int lost = test.coordinating();
+    BOOST_REQUIRE(lost >= 0);
+    test.store.take_copy();
+    test.move_all_keys_to_b();
+    const int grants = test.orders.grants[gg::server_id("a")];
+    test.hosts[static_cast<std::size_t>(lost)]->links.lost = true;
+    test.restore_store();
+    // The copy's owner has not left, as far as the restored store tells.
+    gateway::server_entry back = *test.servers.find(gg::server_id("a"));
+    back.draining = false;
+    test.servers.apply({{back.life.id, back, at(3)}}, at(3), wire::event_loop::now());
+    test.run_for(5'000ms);
+    BOOST_TEST(test.coordinating() >= 0);
+    BOOST_TEST(test.orders.grants[gg::server_id("a")] == grants);
+    test.run_for(5'000ms);
+    BOOST_TEST(test.orders.grants[gg::server_id("a")] > grants);
+    BOOST_TEST(test.orders.overlapping_grants == 0);
+    BOOST_TEST(test.orders.repeated_fences == 0);
+}
+
+// Guards against a successor that waits although the coordinator wrote its owners again after the
+// restore, and against one that does not although it could not.
+BOOST_AUTO_TEST_CASE(owners_written_after_a_restore_are_adopted_at_once) {
+    coordination_fixture test;
+    test.add_hosts(3);
+    test.run_for(1'500ms);
+    test.store.take_copy();
+    test.move_all_keys_to_b();
+    test.restore_store();
+    test.run_for(1'000ms);
+    const int lost = test.coordinating();
+    BOOST_REQUIRE(lost >= 0);
+    test.hosts[static_cast<std::size_t>(lost)]->links.lost = true;
+    const int grants = test.orders.grants[gg::server_id("b")];
+    test.run_for(gg::milliseconds(ranges::lease_settings{}.lease_duration));
+    BOOST_TEST(test.coordinating() >= 0);
+    BOOST_TEST(test.orders.grants[gg::server_id("b")] > grants);
+    BOOST_TEST(test.orders.overlapping_grants == 0);
+    BOOST_TEST(test.orders.repeated_fences == 0);
+}
+
 // Guards against changes that a restored store gives a version which the watch has passed already.
 BOOST_AUTO_TEST_CASE(changes_of_a_restored_store_are_not_missed) {
     coordination_fixture test;
