Reject registrations with numbers out of range

A registration with a warmupLeftS such as 1e300, slots up to or a born up to 2^64 - 1 was accepted. The conversion of such a warm-up to an integer and its addition to a time, and the conversion of the concurrency limit to int, are undefined, and an entry with a very late start displaces the registration of the server that has the same address.

Named bounds now hold for these fields; a registration beyond them names no server to use.

--- a/libs/gateway/include/gateway/directory.h
+++ b/libs/gateway/include/gateway/directory.h
@@ -14,6 +14,13 @@
 
 namespace greengagechute::gateway {
 
+/// Upper bounds of a registration. They are far above what servers have, and keep the products and
+/// sums made of the values within their types.
+inline constexpr int max_server_slots = 10'000;
+inline constexpr milliseconds max_warmup = std::chrono::hours{1};
+/// End of the year 9999 in Unix milliseconds.
+inline constexpr std::uint64_t max_start_time_ms = 253'402'300'799'999;
+
 /// Registration of a server.
 struct server_entry {
     ranges::server_instance life;
