--- a/libs/wire/src/stream.cpp
+++ b/libs/wire/src/stream.cpp
@@ -68,7 +68,9 @@
     const std::string_view port = text.substr(colon + 1);
     const auto [end, code] = std::from_chars(port.begin(), port.end(), parsed.port);
     in_addr ignored{};
+    // inet_pton reads no further than a null character.
     if (code != std::errc{} || end != port.end() || port.empty() ||
+        parsed.ip.find('\0') != std::string::npos ||
         inet_pton(AF_INET, parsed.ip.c_str(), &ignored) != 1) {
         return make_error_code(wire_errc::invalid_endpoint);
     }
