Skip odd rows of an answer of the store

Hosts stopped following a table while one row of it had no key, was no object, or had a key with bytes that are not UTF-8 or an unpaired surrogate.

--- a/libs/gateway/include/gateway/store.h
+++ b/libs/gateway/include/gateway/store.h
@@ -30,6 +30,8 @@
     std::vector<stored_row> rows;
     /// Store version of the snapshot or of the newest change covered.
     store_version version;
+    /// Rows of the answer that had no readable key.
+    std::size_t skipped_rows = 0;
 };
 
 enum class commit_outcome {
--- a/libs/gateway/include/gateway/table_watch.h
+++ b/libs/gateway/include/gateway/table_watch.h
@@ -72,6 +72,7 @@
     void on_failure(const status& error);
     /// Makes the next call after a delay, unless another call has been made by then.
     void continue_after(milliseconds delay);
+    void log_skipped(const table_content& content);
     /// Resets the failure count.
     /// @return  an update without content
     table_update on_answer(const store_version& newest);
--- a/libs/gateway/src/table_watch.cpp
+++ b/libs/gateway/src/table_watch.cpp
@@ -64,6 +64,16 @@
     });
 }
 
+void table_watch::log_skipped(const table_content& content) {
+    if (content.skipped_rows > 0) {
+        telemetry::log_warning(this->log, "store_rows_skipped",
+                               {{"table", this->table},
+                                {"rows", content.skipped_rows},
+                                {"version", content.version.number},
+                                {"reason", "the key cannot be read"}});
+    }
+}
+
 table_update table_watch::on_answer(const store_version& newest) {
     const time_point now = wire::event_loop::now();
     table_update update;
@@ -95,6 +105,7 @@
             this->on_failure(answer.error());
             return;
         }
+        this->log_skipped(*answer);
         const bool restored =
             this->version != store_version{} && answer->version.era != this->version.era;
         table_update update = this->on_answer(answer->version);
@@ -170,6 +181,7 @@
                               this->read();
                               return;
                           }
+                          this->log_skipped(*answer);
                           table_update update = this->on_answer(answer->version);
                           this->version = std::max(this->version, answer->version);
                           const bool changed = !answer->rows.empty();
