Bound the numbers of relayed registrations

A host that receives slots, a warm-up or an age beyond the range of its type from another host, for example one of an earlier release that read an odd registration, took them as negative or cut values, and computed times with them that overflow.

decode converted the unsigned numbers without checks. relayed_numbers_out_of_range_are_bounded failed before: slots were -1 or 0, and ages and warm-ups negative or beyond the bounds.

decode lowers the numbers to the bounds. The answer stays usable, since its other changes are needed.

--- a/libs/gateway/src/reports.cpp
+++ b/libs/gateway/src/reports.cpp
@@ -2,7 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cmath>
+#include <cstdint>
 #include <utility>
 
 namespace greengagechute::gateway {
@@ -14,6 +16,15 @@
 /// Number of fields of an encoded change: removal of a server, and registration.
 constexpr std::size_t removal_fields = 2;
 constexpr std::size_t entry_fields = 10;
+/// Longer ages have the same effect, and could overflow when they are subtracted from a time.
+constexpr milliseconds max_age = std::chrono::hours{24};
+
+/// Reads an integer from 0 and lowers it to the bound if it is larger. Hosts that run an earlier
+/// release send on what they read without bounds.
+std::int64_t bounded(const nlohmann::json& number, std::int64_t highest) {
+    return static_cast<std::int64_t>(
+        std::min(number.get<std::uint64_t>(), static_cast<std::uint64_t>(highest)));
+}
 
 nlohmann::json encode_change(const server_change& change) {
     nlohmann::json fields = {change.id.value(), change.version.number};
@@ -55,9 +66,9 @@
     entry.service = service_id(fields[3].get<std::string>());
     entry.address = {fields[4].get<std::string>(), fields[5].get<std::uint16_t>()};
     entry.data_centre = data_centre_id(fields[6].get<std::string>());
-    entry.slots = fields[7].get<int>();
+    entry.slots = static_cast<int>(bounded(fields[7], max_server_slots));
     entry.draining = fields[8].get<bool>();
-    entry.warmup_left = milliseconds(fields[9].get<std::int64_t>());
+    entry.warmup_left = milliseconds(bounded(fields[9], max_warmup.count()));
     change.entry = std::move(entry);
     return change;
 }
@@ -79,13 +90,13 @@
         !parsed["age"].is_number_unsigned()) {
         return false;
     }
-    update.age = milliseconds(parsed["age"].get<std::int64_t>());
+    update.age = milliseconds(bounded(parsed["age"], max_age.count()));
     update.version = decode_version(parsed, "version", "era");
     if (parsed.contains("regained_before")) {
         if (!parsed["regained_before"].is_number_unsigned()) {
             return false;
         }
-        update.regained_before = milliseconds(parsed["regained_before"].get<std::int64_t>());
+        update.regained_before = milliseconds(bounded(parsed["regained_before"], max_age.count()));
     }
     for (const nlohmann::json& fields : parsed["changes"]) {
         auto change = decode_change(fields);
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -781,6 +781,35 @@
     BOOST_TEST(!decode("{\"host\":\"a\",\"keys\":{\"s\":[70000]}}", read));
 }
 
+// Guards against times and limits that overflow because another host sends on a number without
+// bounds.
+BOOST_AUTO_TEST_CASE(relayed_numbers_out_of_range_are_bounded) {
+    const auto relayed = [](const std::string& number) {
+        const std::string text =
+            R"({"coordinating":true,"has_store":true,"hosts":2,"term":4,"servers":{"version":9,)"
+            R"("age":#,"regained_before":#,"changes":[["i-1",8,5,"s","10.1.0.7",80,"dc",#,false,#]]}})";
+        std::string filled;
+        for (const char c : text) {
+            filled += c == '#' ? number : std::string(1, c);
+        }
+        gateway::report_answer answer;
+        BOOST_REQUIRE(decode(filled, answer));
+        return *answer.servers;
+    };
+    for (const char* number :
+         {"18446744073709551615", "9223372036854775808", "9223372036854775807", "4294967296"}) {
+        BOOST_TEST_CONTEXT(number) {
+            const gateway::directory_update update = relayed(number);
+            BOOST_CHECK(update.age == 24h);
+            BOOST_CHECK(update.regained_before == gg::milliseconds(24h));
+            BOOST_TEST(update.changes[0].entry->slots == gateway::max_server_slots);
+            BOOST_CHECK(update.changes[0].entry->warmup_left == gateway::max_warmup);
+        }
+    }
+    BOOST_CHECK(relayed("700").age == 700ms);
+    BOOST_TEST(relayed("700").changes[0].entry->slots == 700);
+}
+
 // Guards against a request that is altered on the way: path, the caller's headers and id reach the
 // server unchanged, with the remaining time and the id of the expected server.
 BOOST_AUTO_TEST_CASE(request_is_forwarded_exactly) {
