Tell a repeated refusal from the answer to a later attempt

Callers were told "not run" for requests that a server had run or was running, or such a request ran a second time, when a faulty server wrote an earlier refusal once more on a kept connection.

A refused request is sent again with the same request id, possibly on the connection of the refusal. The repeated refusal then names the right request and was taken for the answer to the later attempt. A refusal without a request id was taken as a proof for any request.

wire::client gives each connection an identity, states it in the result of a call, and lets a call exclude kept connections, which stay available to other calls. The front does not send a request again on a connection on which it was refused. A refusal counts only if it echoes the request's id, or if it is a 421 from a server other than the expected one, which does not run the request in any case.

--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -182,6 +182,9 @@
     int moved_attempts = 0;
     /// Number of times that an owner refused it because it was full or shed load.
     int refused_attempts = 0;
+    /// Connections on which a server refused it. It is not sent on them again: the server might
+    /// repeat the refusal there, with the same request id, while it runs the request.
+    std::vector<wire::connection_id> refusing_connections;
     /// A server may have executed the request, so the caller must not be told that it has not run.
     bool may_have_run = false;
     /// Earliest time of the next attempt.
@@ -739,6 +742,7 @@
     options.timeout =
         left + milliseconds(static_cast<std::int64_t>(network_ms)) + std::chrono::seconds(1);
     options.connect_timeout = this->settings.connect_timeout;
+    options.excluded = active->refusing_connections;
     options.accept = [id = active->id,
                       name = this->names.request_id](const wire::response& message) {
         const std::string* echoed = wire::find_header(message.headers, name);
@@ -804,6 +808,27 @@
         this->on_failure(active, outcome.error, now);
         return;
     }
+    const bool not_run = wire::find_header(outcome.message.headers, this->names.not_run) != nullptr;
+    const std::string* const answering =
+        wire::find_header(outcome.message.headers, this->names.server);
+    const bool replaced = outcome.message.code == code::misdirected && answering != nullptr &&
+                          *answering != active->current_server.value();
+    // A server other than the expected one does not run the request, whichever request its refusal
+    // was meant for.
+    const bool identified =
+        active->id.empty() || replaced ||
+        wire::find_header(outcome.message.headers, this->names.request_id) != nullptr;
+    if (not_run && !identified) {
+        // The server may have repeated its refusal of an earlier request.
+        if (server != nullptr) {
+            const time_point before = server->paused_until;
+            record_no_response(*server, this->settings.balancer, now);
+            this->log_pause(*server, before, now);
+        }
+        active->may_have_run = true;
+        this->on_failure(active, make_error_code(gateway_errc::unidentified_refusal), now);
+        return;
+    }
     if (server != nullptr) {
         if (const std::string* reported =
                 wire::find_header(outcome.message.headers, this->names.load)) {
@@ -812,10 +837,7 @@
             }
         }
     }
-    const std::string* const answering =
-        wire::find_header(outcome.message.headers, this->names.server);
-    if (outcome.message.code == code::misdirected && server != nullptr && answering != nullptr &&
-        *answering != active->current_server.value()) {
+    if (replaced && server != nullptr) {
         // Another server now uses the address, so the expected one has ended.
         telemetry::log_info(this->log, "server_replaced",
                             {{"request", active->id},
@@ -824,7 +846,10 @@
         server->replaced = true;
         this->ended_servers.push_back(server->entry.life);
     }
-    if (wire::find_header(outcome.message.headers, this->names.not_run) != nullptr) {
+    if (not_run) {
+        if (outcome.connection) {
+            active->refusing_connections.push_back(*outcome.connection);
+        }
         this->on_not_run(active, outcome.message.code, now);
         return;
     }
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -100,6 +100,71 @@
     std::shared_ptr<wire::stream> opened;
 };
 
+/// Server that writes given bytes for each request that it reads.
+class scripted_server {
+public:
+    /// Returns the bytes to write, from the request and the number of the connection.
+    using handler = std::function<std::string(const wire::request&, std::size_t)>;
+
+    scripted_server(wire::event_loop& loop, handler act)
+        : respond(std::move(act)),
+          listening(loop, [this](const std::shared_ptr<wire::stream>& opened) {
+              const std::size_t number = this->accepted.size();
+              this->accepted.push_back(opened);
+              auto parser = std::make_shared<wire::request_parser>();
+              wire::stream_handlers handlers;
+              handlers.data = [this, number, parser, to = opened.get()](std::string_view bytes) {
+                  while (!bytes.empty()) {
+                      std::size_t used = 0;
+                      if (parser->feed(bytes, used)) {
+                          to->write(this->respond(parser->take(), number));
+                      }
+                      bytes.remove_prefix(used);
+                  }
+              };
+              opened->set_handlers(std::move(handlers));
+          }) {
+        BOOST_REQUIRE(!this->listening.open({"127.0.0.1", 0}));
+    }
+    scripted_server(const scripted_server&) = delete;
+    scripted_server& operator=(const scripted_server&) = delete;
+    ~scripted_server() {
+        for (const auto& opened : this->accepted) {
+            opened->close();
+        }
+    }
+
+    wire::endpoint address() const { return {"127.0.0.1", this->listening.port()}; }
+    std::size_t connections() const { return this->accepted.size(); }
+
+private:
+    handler respond;
+    std::vector<std::shared_ptr<wire::stream>> accepted;
+    wire::listener listening;
+};
+
+/// Bytes of a refusal that names `id`, or no request if it is empty.
+std::string refusal_bytes(int code, const std::string& id) {
+    wire::response message;
+    message.code = code;
+    message.reason = "Reason";
+    message.headers.push_back({"Own-Not-Run", "1"});
+    if (!id.empty()) {
+        message.headers.push_back({"Own-Id", id});
+    }
+    return serialize(message, false, false);
+}
+
+/// Bytes of the signed answer to a request.
+std::string answer_bytes(const std::string& id, const std::string& body) {
+    wire::response message;
+    message.code = 200;
+    message.reason = "OK";
+    message.headers = {{"Own-Id", id}, {"Own-Signature", "s"}};
+    message.body = body;
+    return serialize(message, false, false);
+}
+
 /// A front with an undivided service `plain` and a divided service `keys`.
 struct fixture {
     wire::event_loop loop;
@@ -142,6 +207,7 @@
         add("/safe/", gateway::request_kind::safe, "plain", 2);
         add("/unsafe/", gateway::request_kind::unsafe, "plain", 2);
         add("/keys/", gateway::request_kind::safe, "keys", 2);
+        add("/unsafe-keys/", gateway::request_kind::unsafe, "keys", 2);
         index_routes(*content);
         this->front->set_catalogue(content);
     }
@@ -859,6 +925,113 @@
     BOOST_TEST(test_without_not_run.ask("POST", "/unsafe/x").message.code == 502);
 }
 
+// Guards against a refusal that a server writes again before its real answer being taken for the
+// answer to a later attempt, which the server runs.
+BOOST_AUTO_TEST_CASE(repeated_refusal_does_not_answer_a_later_attempt) {
+    // Answered requests before, which fill the retry budget.
+    constexpr int answered_before = 40;
+    for (const std::string target : {"/safe/x", "/unsafe/x", "/keys/x", "/unsafe-keys/x"}) {
+        for (const int code : {421, 429, 503}) {
+            fixture test;
+            std::map<std::size_t, std::string> refused;
+            int asked_before = 0;
+            int runs = 0;
+            scripted_server server(
+                test.loop, [&](const wire::request& asked, std::size_t connection) {
+                    const std::string id = *wire::find_header(asked.headers, "Own-Id");
+                    if (asked_before < answered_before) {
+                        ++asked_before;
+                        return answer_bytes(id, "before");
+                    }
+                    if (refused.empty()) {
+                        return refused[connection] = refusal_bytes(code, id);
+                    }
+                    ++runs;
+                    return refused[connection] + answer_bytes(id, "ran");
+                });
+            // Attempts at an undivided service may go to any server; all are the same peer.
+            test.add("s1", "plain", server.address());
+            test.add("s2", "plain", server.address());
+            test.add("s3", "keys", server.address());
+            test.set_owner("s3");
+            for (int count = 0; count < answered_before; ++count) {
+                test.ask("POST", target, "1000", "5");
+            }
+            const auto result = test.ask("POST", target, "1000", "5");
+            BOOST_TEST(result.message.code == 200, target << " " << code);
+            BOOST_TEST(result.message.body == "ran", target << " " << code);
+            BOOST_TEST(runs == 1, target << " " << code);
+        }
+    }
+}
+
+// Guards against a refusal that a server writes again on a connection that has carried another
+// request since.
+BOOST_AUTO_TEST_CASE(refusal_repeated_after_another_request_is_not_an_answer) {
+    fixture test;
+    std::string refused;
+    std::size_t refusing_connection = 0;
+    std::size_t other_connection = 0;
+    int runs = 0;
+    scripted_server server(test.loop, [&](const wire::request& asked, std::size_t connection) {
+        const std::string id = *wire::find_header(asked.headers, "Own-Id");
+        if (id == "other") {
+            other_connection = connection;
+            return answer_bytes(id, "other");
+        }
+        if (refused.empty()) {
+            refusing_connection = connection;
+            return refused = refusal_bytes(421, id);
+        }
+        ++runs;
+        return (connection == refusing_connection ? refused : "") + answer_bytes(id, "ran");
+    });
+    test.add("s1", "keys", server.address());
+    test.front->set_owners(gg::service_id("keys"),
+                           ranges::range_table{{{{0, 99}, {gg::server_id("s1"), 1}},
+                                                {{100, 65'535}, {gg::server_id("s1"), 1}}}});
+    wire::client callers(test.loop, {});
+    std::string other;
+    test.loop.call_after(25ms, [&] {
+        wire::request message;
+        message.method = "POST";
+        message.target = "/unsafe-keys/y";
+        message.headers = {
+            {"Host", "h"}, {"Own-Id", "other"}, {"Own-Deadline", "900"}, {"Own-Key", "200"}};
+        callers.send({"127.0.0.1", test.entry->port()}, message, {},
+                     [&other](const wire::call_result& outcome) { other = outcome.message.body; });
+    });
+    const auto result = test.ask("POST", "/unsafe-keys/x", "1000", "5");
+    BOOST_TEST(result.message.body == "ran");
+    BOOST_TEST(runs == 1);
+    BOOST_TEST(other == "other");
+    // The connection stays available to requests that were not refused on it.
+    BOOST_TEST(other_connection == refusing_connection);
+    BOOST_TEST(server.connections() == 2U);
+}
+
+// Guards against a refusal that names no request being taken for a proof that this one has not run.
+BOOST_AUTO_TEST_CASE(refusal_without_an_id_proves_nothing) {
+    for (const std::string target : {"/unsafe/x", "/unsafe-keys/x"}) {
+        for (const int code : {408, 421, 429, 503}) {
+            fixture test;
+            int arrivals = 0;
+            scripted_server server(test.loop, [&](const wire::request& asked, std::size_t) {
+                ++arrivals;
+                return refusal_bytes(code, "") +
+                       answer_bytes(*wire::find_header(asked.headers, "Own-Id"), "ran");
+            });
+            test.add("s1", "plain", server.address());
+            test.add("s2", "plain", server.address());
+            test.add("s3", "keys", server.address());
+            test.set_owner("s3");
+            BOOST_TEST(test.ask("POST", target, "1000", "5").message.code == 502,
+                       target << " " << code);
+            BOOST_TEST(arrivals == 1, target << " " << code);
+        }
+    }
+}
+
 // Guards against requests that wait for an owner beyond their deadline, and against losing requests
 // that wait while a range moves.
 BOOST_AUTO_TEST_CASE(request_waits_for_the_owner_of_its_key) {
--- a/libs/wire/include/wire/client.h
+++ b/libs/wire/include/wire/client.h
@@ -11,12 +11,15 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
 namespace greengagechute::wire {
 
 using call_id = strong_id<struct call_tag, std::uint64_t>;
+/// Identifies a connection among all that a client has opened.
+using connection_id = strong_id<struct connection_tag, std::uint64_t>;
 
 struct call_options {
     /// From `send` to the whole response.
@@ -26,6 +29,9 @@
     /// Whether a response answers this request; others are late answers to earlier requests and are
     /// skipped. Empty accepts every response.
     std::function<bool(const response&)> accept;
+    /// Kept connections that the call does not use. An answer repeated on one of them could not be
+    /// told from the answer to this call.
+    std::vector<connection_id> excluded;
 };
 
 struct call_result {
@@ -36,6 +42,8 @@
     bool sent = false;
     /// The connection had carried an earlier exchange.
     bool reused = false;
+    /// The connection that the request was given to; empty if `sent` is not set.
+    std::optional<connection_id> connection;
 };
 
 using call_handler = std::function<void(call_result)>;
--- a/libs/wire/src/client.cpp
+++ b/libs/wire/src/client.cpp
@@ -46,9 +46,11 @@
     std::shared_ptr<connection> channel;
     bool sent = false;
     bool reused = false;
+    std::optional<connection_id> used_connection;
 };
 
 struct client::connection {
+    connection_id id;
     endpoint address;
     std::shared_ptr<stream> socket;
     response_parser parser;
@@ -104,13 +106,21 @@
 void client::begin(const std::shared_ptr<call>& started) {
     const time_point now = event_loop::now();
     auto& channels = this->idle[started->address];
-    while (!channels.empty()) {
-        const auto channel = channels.back();
-        channels.pop_back();
+    const auto& excluded = started->options.excluded;
+    // The connection used last is preferred.
+    for (std::size_t index = channels.size(); index > 0;) {
+        --index;
+        const auto at = channels.begin() + static_cast<std::ptrdiff_t>(index);
+        const auto channel = *at;
         if (channel->dropped || channel->idle_until <= now) {
+            channels.erase(at);
             this->drop(channel);
             continue;
         }
+        if (std::find(excluded.begin(), excluded.end(), channel->id) != excluded.end()) {
+            continue;
+        }
+        channels.erase(at);
         started->reused = true;
         this->dispatch(channel, started);
         return;
@@ -119,7 +129,7 @@
     channel->address = started->address;
     channel->current = started;
     started->channel = channel;
-    ++this->connections_opened;
+    channel->id = connection_id(++this->connections_opened);
     started->connect_timeout =
         this->loop.call_after(started->options.connect_timeout, [this, channel] {
             if (!channel->connected) {
@@ -144,6 +154,7 @@
     channel->current = started;
     started->channel = channel;
     started->sent = true;
+    started->used_connection = channel->id;
     channel->parser.expect_no_body(started->head);
     channel->socket->write(std::move(started->bytes));
 }
@@ -256,6 +267,7 @@
     }
     outcome.sent = ended->sent;
     outcome.reused = ended->reused;
+    outcome.connection = ended->used_connection;
     const call_handler done = std::move(ended->done);
     if (done) {
         done(std::move(outcome));
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -536,6 +536,27 @@
     BOOST_TEST(client.opened() == 2U);
 }
 
+// Guards against a call that uses a connection from which it is excluded, and against a connection
+// that is lost to other calls by that.
+BOOST_AUTO_TEST_CASE(excluded_connection_stays_available_to_other_calls) {
+    wire::event_loop loop;
+    const std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    scripted_peer peer(loop, {reply, reply, reply, reply}, false);
+    wire::client client(loop, {});
+    const auto first = call(loop, client, peer.address(), get("/1"));
+    BOOST_REQUIRE(first.connection.has_value());
+    wire::call_options options;
+    options.excluded = {*first.connection};
+    const auto second = call(loop, client, peer.address(), get("/2"), options);
+    BOOST_TEST(!second.reused);
+    BOOST_CHECK(second.connection != first.connection);
+    options.excluded = {*second.connection};
+    const auto third = call(loop, client, peer.address(), get("/3"), options);
+    BOOST_TEST(third.reused);
+    BOOST_CHECK(third.connection == first.connection);
+    BOOST_TEST(client.opened() == 2U);
+}
+
 // Guards against a failed call being reported as sent, or a sent one as not sent.
 BOOST_AUTO_TEST_CASE(failures_tell_whether_the_request_left) {
     wire::event_loop loop;
