Restore the store from copies in the fault soak

The platform's store may come back from a copy some seconds old, and servers may repeat refusals, begin answers without end or have entries with odd values. The soak had none of these.

The stand-in store keeps a copy each 500 ms, states Store-Era in every answer, and is restored at most twice a run: it is away for 0.2 to 3 s, then has the rows and the version of the copy and the next era, and answers 410 to a feed after a version that it does not have. The configuration and the entries of running servers are written again within 220 ms; entries of servers that had left expire. Entries have a sequence that rises.

New checks: a fence is above all with which other servers, or an earlier life of the server, had the key; each gateway serves the route that only the newest configuration has, and not the one before; no more than 16 MiB (26 with socket buffers) of an answer without end are taken.

The time from a server's leaving to its last request is not checked.

--- a/tests/soak/servers.h
+++ b/tests/soak/servers.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,7 @@
 class observer {
 public:
     void broken(const std::string& promise, const std::string& detail);
+    /// Each names its promise, then the time since the start.
     const std::vector<std::string>& violations() const { return this->found; }
 
     void began(const std::string& request, bool safe, const std::string& server);
@@ -29,10 +31,38 @@
     void forgive(time_point now) { this->forgiven_since = now; }
     bool forgives(time_point now) const;
 
+    /// The answer of the request had no end, so that it cannot reach its caller whole.
+    void spoiled(const std::string& request) { this->without_end.insert(request); }
+    bool was_spoiled(const std::string& request) const {
+        return this->without_end.contains(request);
+    }
+
+    /// Checks the fence of a grant against all under which other servers had its keys.
+    /// @param holder  names one life of a server
+    void took(const std::string& service, std::uint32_t first, std::uint32_t last,
+              std::uint64_t fence, const std::string& holder);
+
 private:
     std::map<std::string, int> runs;
     std::vector<std::string> found;
+    time_point began_at = wire::event_loop::now();
     time_point forgiven_since;
+    std::set<std::string> without_end;
+    struct taking {
+        std::uint64_t fence = 0;
+        std::string holder;
+    };
+    /// Highest fence of each key, by service.
+    std::map<std::string, std::vector<taking>> highest;
+};
+
+/// What a faulty server does with some of its answers.
+enum class server_defect {
+    none,
+    /// Writes a refusal once more, before the next answer or while the connection is idle.
+    repeats_refusals,
+    /// Begins an answer whose head or body never ends.
+    endless_answers,
 };
 
 /// Keys that a server holds.
@@ -61,6 +91,9 @@
     void leave();
     /// Answers nothing until it is resumed, then goes on as if nothing had happened.
     void freeze(bool frozen);
+    void set_defect(server_defect next) { this->defect = next; }
+    /// Registers as the store is back from a copy, or lets the entry of the copy expire.
+    void register_again();
     proxy& path() { return this->way; }
     const std::vector<hold>& holds() const { return this->held; }
 
@@ -82,6 +115,9 @@
     void remove_range(std::uint32_t first, std::uint32_t last);
     void check_others(const hold& granted, time_point now) const;
     void publish();
+    /// Removes the entry after three heartbeat intervals if the server is still down.
+    void expire_entry();
+    wire::header_list refusal_headers(const std::string& request_id);
     std::string load() const;
 
     wire::event_loop& loop;
@@ -98,6 +134,7 @@
     int life = 0;
     bool draining = false;
     bool frozen = false;
+    server_defect defect = server_defect::none;
     std::vector<std::function<void()>> waiting_for_thaw;
     std::vector<hold> held;
     std::deque<job> queue;
--- a/tests/soak/stores.h
+++ b/tests/soak/stores.h
@@ -4,9 +4,11 @@
 #include "wire/server.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -34,6 +36,14 @@
     /// Writes a row as the operator or a server does.
     void put(const std::string& table, const std::string& key, const std::string& value);
     void erase(const std::string& table, const std::string& key);
+    bool is_away() const { return this->away.has_value(); }
+    bool has(const std::string& table, const std::string& key) const;
+    /// Is away in that mode for a time, then comes back in a new era with the newest copy of at
+    /// least that age. A call while it is away, or before the first
+    /// copy, has no effect.
+    /// @param returned  called when it is back
+    void restore(milliseconds age, milliseconds outage, store_mode during,
+                 std::function<void()> returned);
 
 private:
     struct row {
@@ -47,11 +57,21 @@
         std::uint64_t after = 0;
     };
     using row_name = std::pair<std::string, std::string>;
+    struct copy {
+        time_point made;
+        std::map<row_name, row> rows;
+        std::uint64_t version = 0;
+    };
 
     void handle(const std::shared_ptr<wire::incoming>& request);
     void transact(const std::shared_ptr<wire::incoming>& request);
     void change(const row_name& name, std::string value, bool removed);
     void answer_watchers();
+    void keep_copy();
+    void return_with(time_point newest);
+    store_mode current_mode() const { return this->away.value_or(this->mode); }
+    /// Every answer states the era.
+    void answer(const std::shared_ptr<wire::incoming>& request, int code, std::string body) const;
     std::string content(const std::string& table, std::uint64_t after, bool whole) const;
 
     wire::event_loop& loop;
@@ -59,6 +79,10 @@
     std::uint64_t version = 0;
     std::vector<watcher> watchers;
     store_mode mode = store_mode::normal;
+    std::uint64_t era = 1;
+    std::deque<copy> copies;
+    /// The mode until a restored store is back.
+    std::optional<store_mode> away;
     wire::server server;
 };
 
