Check in the fault soak when a leaving server gets its last request

The soak did not see requests that reach a server long after it has registered as draining. A request that arrives more than 3 s (drainS and a second for delivery) after the store had that state is now reported, if no host, path or store was disturbed since; health checks do not count.

A store is no longer away when the recovery time begins: a restore whose outage would last beyond the faults is not started.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -332,6 +332,7 @@
         if (host.serving()) {
             this->note("SIGKILL " + host.name());
             host.kill();
+            this->seen.disturbed(wire::event_loop::now());
             this->loop.call_after(milliseconds(100 + this->draw(1'500)), [&host] { host.start(); });
         }
     }
@@ -361,10 +362,12 @@
         const milliseconds time(200 + this->draw(4'000));
         this->note("SIGSTOP " + host.name() + " for " + std::to_string(time.count()) + " ms");
         host.pause(true);
+        this->seen.disturbed(wire::event_loop::now());
         this->loop.call_after(time, [this, &host] {
             if (host.paused()) {
                 host.pause(false);
                 this->seen.forgive(wire::event_loop::now());
+                this->seen.disturbed(wire::event_loop::now());
             }
         });
     }
@@ -375,6 +378,7 @@
         if (kind == 0) {
             this->note("reset " + name);
             path.reset();
+            this->seen.disturbed(wire::event_loop::now());
             return;
         }
         fault.delay = milliseconds(kind == 1 ? 20 + this->draw(300) : 0);
@@ -385,9 +389,11 @@
                            : kind == 3 ? " cut backward"
                                        : " silent"));
         path.set_fault(fault);
+        this->seen.disturbed(wire::event_loop::now());
         this->loop.call_after(milliseconds(500 + this->draw(4'000)), [this, &path] {
             path.set_fault({});
             this->seen.forgive(wire::event_loop::now());
+            this->seen.disturbed(wire::event_loop::now());
         });
     }
 
@@ -396,23 +402,31 @@
         const int mode = this->draw(3);
         this->note(mode == 0 ? "store busy" : mode == 1 ? "store silent" : "store loses answers");
         this->store.set_mode(modes.at(static_cast<std::size_t>(mode)));
-        this->loop.call_after(milliseconds(500 + this->draw(5'000)),
-                              [this] { this->store.set_mode(store_mode::normal); });
+        this->seen.disturbed(wire::event_loop::now());
+        this->loop.call_after(milliseconds(500 + this->draw(5'000)), [this] {
+            this->store.set_mode(store_mode::normal);
+            this->seen.disturbed(wire::event_loop::now());
+        });
     }
 
     void restore_store() {
-        if (this->restores == most_restores || this->store.is_away()) {
-            return;
-        }
-        ++this->restores;
         const milliseconds age(500 + this->draw(11'500));
         const milliseconds outage(200 + this->draw(2'800));
         const bool busy = this->draw(2) == 0;
+        // The store is back before the recovery time begins.
+        const time_point end = this->began + warm_up + milliseconds(this->options.seconds * 1'000);
+        if (this->restores == most_restores || this->store.is_away() ||
+            wire::event_loop::now() + outage > end) {
+            return;
+        }
+        ++this->restores;
+        this->seen.disturbed(wire::event_loop::now());
         this->note("store away for " + std::to_string(outage.count()) + " ms, " +
                    (busy ? "busy" : "silent") + ", then restored from a copy of " +
                    std::to_string(age.count()) + " ms");
         this->store.restore(age, outage, busy ? store_mode::busy : store_mode::silent, [this] {
             this->note("store is back");
+            this->seen.disturbed(wire::event_loop::now());
             this->loop.call_after(milliseconds(20 + this->draw(200)),
                                   [this] { this->store.put("op", "config", this->configuration); });
             for (const auto& server : this->servers) {
@@ -498,6 +512,7 @@
 
     void heal() {
         this->healing = true;
+        this->seen.disturbed(wire::event_loop::now());
         this->note("no more faults");
         this->store.set_mode(store_mode::normal);
         for (const auto& server : this->servers) {
--- a/tests/soak/servers.cpp
+++ b/tests/soak/servers.cpp
@@ -15,6 +15,8 @@
 constexpr int slots = 3;
 constexpr std::size_t queue_length = 12;
 constexpr milliseconds entry_lapses{2'600};
+/// `drainS` of the users, and a second for delivery.
+constexpr milliseconds drain_bound{3'000};
 /// The platform's rule for orders that were held up (RULES, thawSlackS).
 constexpr milliseconds thaw_slack{300};
 constexpr int clock_slow_percent = 2;
@@ -137,6 +139,7 @@
 
 void keyed_server::set_draining() {
     this->draining = true;
+    this->draining_since = wire::event_loop::now();
     this->publish();
 }
 
@@ -276,7 +279,10 @@
     next.key = key.empty() ? 0 : static_cast<std::uint32_t>(std::stoul(key));
     if (next.keyed && !this->holds_key(next.key, wire::event_loop::now())) {
         reply(request, misdirected, "", this->refusal_headers(next.request_id));
-    } else if (this->running < slots) {
+        return;
+    }
+    this->check_leaving(next);
+    if (this->running < slots) {
         this->run(std::move(next));
     } else if (this->queue.size() < queue_length) {
         this->queue.push_back(std::move(next));
@@ -285,6 +291,16 @@
     }
 }
 
+void keyed_server::check_leaving(const job& next) const {
+    // Health checks have no id.
+    if (this->draining && !next.request_id.empty() &&
+        next.request->arrived() - this->draining_since > drain_bound &&
+        !this->seen.disturbed_since(this->draining_since)) {
+        this->seen.broken("drain", "request " + next.request_id + " reached " + this->id +
+                                       " too late after its leaving was shown");
+    }
+}
+
 wire::header_list keyed_server::refusal_headers(const std::string& request_id) {
     wire::header_list headers{{"Not-Executed", "1"},
                               {"Request-Id", request_id},
--- a/tests/soak/servers.h
+++ b/tests/soak/servers.h
@@ -31,6 +31,11 @@
     void forgive(time_point now) { this->forgiven_since = now; }
     bool forgives(time_point now) const;
 
+    /// A host, its path or the store was disturbed: what hosts know of leaving servers is not
+    /// judged.
+    void disturbed(time_point now) { this->last_disturbed = now; }
+    bool disturbed_since(time_point time) const { return this->last_disturbed >= time; }
+
     /// The answer of the request had no end, so that it cannot reach its caller whole.
     void spoiled(const std::string& request) { this->without_end.insert(request); }
     bool was_spoiled(const std::string& request) const {
@@ -47,6 +52,7 @@
     std::vector<std::string> found;
     time_point began_at = wire::event_loop::now();
     time_point forgiven_since;
+    time_point last_disturbed;
     std::set<std::string> without_end;
     struct taking {
         std::uint64_t fence = 0;
@@ -114,6 +120,7 @@
     bool holds_key(std::uint32_t key, time_point now) const;
     void remove_range(std::uint32_t first, std::uint32_t last);
     void check_others(const hold& granted, time_point now) const;
+    void check_leaving(const job& next) const;
     void publish();
     /// Removes the entry after three heartbeat intervals if the server is still down.
     void expire_entry();
@@ -133,6 +140,7 @@
     /// Counts starts, so that work of an earlier life ends without an effect.
     int life = 0;
     bool draining = false;
+    time_point draining_since;
     bool frozen = false;
     server_defect defect = server_defect::none;
     std::vector<std::function<void()>> waiting_for_thaw;
