Close a connection only after its last answer has been taken

A caller that took longer than the idle limit for an answer lost the end of it: since idle connections are closed at once, what was still queued was dropped, as the limit counted from when the answer was queued. When the process ended, only connections closed by an answer were waited for, not one whose answer was still leaving when it was closed.

Found by review. The limit now counts from the last time that output was pending, and the process waits for each connection with pending output.

--- a/libs/wire/src/server.cpp
+++ b/libs/wire/src/server.cpp
@@ -17,10 +17,8 @@
     std::size_t finishing = 0;
     std::function<void(const closed_connection&)> closed;
 
-    void report(const closed_connection& ended) {
-        if (ended.reason == close_reason::answered) {
-            --this->finishing;
-        }
+    void report(const closed_connection& ended, bool awaited) {
+        this->finishing -= awaited ? 1 : 0;
         if (this->closed) {
             this->closed(ended);
         }
@@ -45,7 +43,7 @@
         handlers.ended = [weak](stream_end) {
             if (const auto own = weak.lock()) {
                 own->end();
-                own->owner->report({close_reason::caller, own->unanswered, 0});
+                own->owner->report({close_reason::caller, own->unanswered, 0}, false);
             }
         };
         this->socket->set_handlers(std::move(handlers));
@@ -107,22 +105,23 @@
             return;
         }
         this->end();
-        const auto report = [weak = std::weak_ptr<server::state>(this->owner), reason,
+        const bool awaited = reason == close_reason::answered || this->socket->pending() > 0;
+        const auto report = [weak = std::weak_ptr<server::state>(this->owner), reason, awaited,
                              requests = this->unanswered](std::size_t discarded_bytes) {
             if (const auto own = weak.lock()) {
-                own->report({reason, requests, discarded_bytes});
+                own->report({reason, requests, discarded_bytes}, awaited);
             }
         };
+        this->owner->finishing += awaited ? 1 : 0;
         if (reason == close_reason::answered) {
-            ++this->owner->finishing;
             this->socket->finish(late_input::discard, report);
-        } else if (reason == close_reason::stopped) {
-            this->socket->finish(late_input::leave_unread, report);
-        } else {
+        } else if (reason == close_reason::idle) {
             // Nothing that was sent is still on its way. A caller whose request crosses the close
             // can send it again only if it was not read.
             this->socket->close();
             report(0);
+        } else {
+            this->socket->finish(late_input::leave_unread, report);
         }
     }
 
@@ -229,6 +228,10 @@
 
     /// Closes the connection unless its limit was raised meanwhile.
     void check_limit(time_point now) {
+        if (this->socket->pending() > 0) {
+            // The caller still takes an answer.
+            this->waits_since = now;
+        }
         const milliseconds left =
             std::chrono::ceil<milliseconds>(this->waits_since + this->limit() - now);
         if (left > milliseconds{0}) {
