Bound what servers send for one response

A faulty server that sends bytes without end, in a head, a body, interim responses or responses of other requests, made a host's memory grow until the request's deadline, and beyond the limit of small hosts when several did so at once.

A call now ends with response_too_large and its connection is closed after 8 MiB, or when all open calls of a client have received 32 MiB together.

wire_test answers_without_end_are_given_up, six kinds of endless answers

--- a/libs/wire/include/wire/client.h
+++ b/libs/wire/include/wire/client.h
@@ -56,11 +56,19 @@
     int stated_percent = 70;
 };
 
+/// Bounds of what servers may send, so that one that never ends an answer does not exhaust memory.
+struct response_limits {
+    /// Bytes received for one call: the response, interim ones, and skipped ones of other requests.
+    std::size_t call_bytes = 8U << 20U;
+    /// Bytes received for all open calls together.
+    std::size_t total_bytes = 32U << 20U;
+};
+
 /// HTTP/1.1 client with connections that are used again. One exchange at a time on a connection; a
 /// request is never sent a second time.
 class client {
 public:
-    client(event_loop& loop, idle_limits limits);
+    client(event_loop& loop, idle_limits limits, response_limits bounds = {});
     client(const client&) = delete;
     client& operator=(const client&) = delete;
     ~client();
@@ -88,8 +96,13 @@
     void drop(const std::shared_ptr<connection>& channel);
     void end_call(const std::shared_ptr<call>& ended, call_result outcome);
 
+    void forget_received(connection& channel);
+
     event_loop& loop;
     idle_limits limits;
+    response_limits bounds;
+    /// Bytes received for the open calls.
+    std::size_t received_bytes = 0;
     std::uint64_t last_id = 0;
     std::uint64_t connections_opened = 0;
     std::unordered_map<std::uint64_t, std::shared_ptr<call>> calls;
--- a/libs/wire/include/wire/errors.h
+++ b/libs/wire/include/wire/errors.h
@@ -22,6 +22,7 @@
     reset = 1310,
     timeout = 1311,
     truncated = 1312,
+    response_too_large = 1313,
 };
 
 /// All codes of library wire.
--- a/libs/wire/src/client.cpp
+++ b/libs/wire/src/client.cpp
@@ -58,10 +58,13 @@
     bool connected = false;
     bool used = false;
     bool dropped = false;
+    /// Bytes received for the current call.
+    std::size_t received = 0;
     time_point idle_until;
 };
 
-client::client(event_loop& owner, idle_limits idle_rules) : loop(owner), limits(idle_rules) {}
+client::client(event_loop& owner, idle_limits idle_rules, response_limits response_bounds)
+    : loop(owner), limits(idle_rules), bounds(response_bounds) {}
 
 client::~client() {
     for (auto& [id, open_call] : this->calls) {
@@ -159,7 +162,21 @@
     channel->socket->write(std::move(started->bytes));
 }
 
+void client::forget_received(connection& channel) {
+    this->received_bytes -= channel.received;
+    channel.received = 0;
+}
+
 void client::on_data(const std::shared_ptr<connection>& channel, std::string_view bytes) {
+    if (channel->current) {
+        channel->received += bytes.size();
+        this->received_bytes += bytes.size();
+        if (channel->received > this->bounds.call_bytes ||
+            this->received_bytes > this->bounds.total_bytes) {
+            this->fail(channel, wire_errc::response_too_large);
+            return;
+        }
+    }
     while (!bytes.empty() && !channel->dropped) {
         if (!channel->current) {
             // Nothing was asked for: the bytes belong to no request.
@@ -189,6 +206,7 @@
     }
     channel->current = nullptr;
     answered->channel = nullptr;
+    this->forget_received(*channel);
     if (outcome.message.keep_alive && rest.empty() && channel->socket->pending() == 0) {
         this->keep(channel, outcome.message, event_loop::now());
     } else {
@@ -222,6 +240,7 @@
 void client::fail(const std::shared_ptr<connection>& channel, wire_errc code) {
     const auto failed = channel->current;
     channel->current = nullptr;
+    this->forget_received(*channel);
     this->drop(channel);
     if (failed) {
         failed->channel = nullptr;
@@ -262,6 +281,7 @@
     this->loop.cancel(ended->connect_timeout);
     if (ended->channel) {
         ended->channel->current = nullptr;
+        this->forget_received(*ended->channel);
         this->drop(ended->channel);
         ended->channel = nullptr;
     }
--- a/libs/wire/src/errors.cpp
+++ b/libs/wire/src/errors.cpp
@@ -20,6 +20,7 @@
     error_entry{1310, "reset", "the connection failed before the response was complete"},
     error_entry{1311, "timeout", "no complete response arrived in time"},
     error_entry{1312, "truncated", "the peer closed before the response was complete"},
+    error_entry{1313, "response_too_large", "the peer sent more than the limit for a response"},
 };
 
 }  // namespace
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -443,6 +443,84 @@
     BOOST_TEST(received.find("100 Continue") != std::string::npos);
 }
 
+// Guards against an answer being cut at the idle limit while a slow caller still takes it.
+BOOST_AUTO_TEST_CASE(answer_that_is_still_being_sent_is_not_cut_at_the_idle_limit) {
+    wire::event_loop loop;
+    constexpr std::size_t large = 16U << 20U;
+    wire::server server(loop, [](const std::shared_ptr<wire::incoming>& request) {
+        wire::response reply;
+        reply.code = 200;
+        reply.reason = "OK";
+        reply.body.assign(large, 'x');
+        request->answer(std::move(reply));
+    });
+    server.set_limits({{}, gg::milliseconds{1'000}, idle_limit});
+    BOOST_REQUIRE(!server.open({"127.0.0.1", 0}));
+    const blocking_caller caller(server.port());
+    caller.write("GET /one HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::size_t received = 0;
+    std::thread reader([&caller, &received] {
+        std::this_thread::sleep_for(idle_limit * 4);
+        for (std::string bytes = caller.read(); !bytes.empty(); bytes = caller.read()) {
+            received += bytes.size();
+        }
+    });
+    loop.call_after(gg::milliseconds{3'000}, [&loop] { loop.stop(); });
+    loop.run();
+    reader.join();
+    BOOST_TEST(received > large);
+}
+
+// Guards against memory that grows without bound while a faulty server sends bytes without end.
+BOOST_AUTO_TEST_CASE(answers_without_end_are_given_up) {
+    const std::string line = "X-Endless: " + std::string(1'000, 'x') + "\r\n";
+    const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    const std::string other = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> endless{
+        {"HTTP/1.1 200 OK\r\n", line},
+        {"HTTP/1.1 200 OK\r\n\r\n", line},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", line},
+        {"", interim},
+        {"", other},
+    };
+    for (const auto& [begin, repeated] : endless) {
+        wire::event_loop loop;
+        std::size_t sent = 0;
+        std::vector<std::shared_ptr<wire::stream>> opened;
+        std::string block;
+        while (block.size() < 65'536) {
+            block += repeated;
+        }
+        wire::listener listening(loop, [&, first = begin](std::shared_ptr<wire::stream> accepted) {
+            wire::stream_handlers handlers;
+            const auto write = [&sent, &block, stream = accepted.get()] {
+                sent += block.size();
+                stream->write(block);
+            };
+            handlers.data = [write, first, stream = accepted.get()](std::string_view) {
+                stream->write(first);
+                write();
+            };
+            handlers.drained = write;
+            accepted->set_handlers(std::move(handlers));
+            opened.push_back(std::move(accepted));
+        });
+        BOOST_REQUIRE(!listening.open({"127.0.0.1", 0}));
+        wire::client client(loop, {}, {1U << 20U, 4U << 20U});
+        wire::call_options options;
+        options.timeout = gg::milliseconds{3'000};
+        options.accept = [](const wire::response& message) {
+            return wire::find_header(message.headers, "Id") == nullptr;
+        };
+        const auto result = call(loop, client, {"127.0.0.1", listening.port()}, get("/"), options);
+        BOOST_TEST(result.error == make_error_code(wire::wire_errc::response_too_large));
+        BOOST_TEST(result.sent);
+        // What the sockets hold comes on top of the limit.
+        BOOST_TEST(sent < 16U << 20U);
+    }
+}
+
 // Guards against a process that ends while a slow caller has yet to take the end of its answer.
 BOOST_AUTO_TEST_CASE(server_is_not_idle_until_its_last_answer_has_left) {
     wire::event_loop loop;
