Close gaps in the takeover after a restore of the store

Found by review of the takeover after a restore, each by reading: - a coordinator that only the store rejects went on renewing leases while its successor waited for them to expire (two owners of a key); it now counts as isolated although no commit of it has failed; - a host whose takeover failed after it stepped down held the term without coordinating for good; it now tries again; - a coordinator gave up its owners if another host had died up to 10 s before the restore; only hosts that count as live are asked for; - term numbers that the store had lost were given out again, by which hosts tell owners apart; they are now skipped; - a host that waited to take over did so although the coordinator had written its term again meanwhile; - a host that shuts down took the term; - without a term row, a store that has come back from a copy was taken for an empty one, and rows of services that are not managed yet were marked as complete.

gateway_test rejected_coordinator_stops_renewing_before_its_successor_grants and failed_takeover_after_a_restore_is_tried_again cover the first two.

--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -20,6 +20,10 @@
 /// term would overlap with the next term's tokens, and more than 2^20 terms with the next era's.
 constexpr unsigned fence_term_shift = 24;
 constexpr unsigned fence_era_shift = 44;
+/// Era of a store that has never come back from a copy.
+constexpr std::uint64_t first_store_era = 1;
+/// Number of terms that a store may lose when it comes back from a copy.
+constexpr std::uint64_t max_lost_terms = 1'000;
 constexpr milliseconds commit_retry_delay{150};
 /// Number of owner changes that are kept for incremental updates; hosts that are further behind get
 /// the whole table.
@@ -209,6 +213,8 @@
     void note_content(std::string_view table, const table_content& content, bool whole);
     bool is_restored_copy(const stored_row& row, const term_content& read) const;
     epoch first_fence() const;
+    /// Era in which the known term was written; 0 if none is known.
+    std::uint64_t term_era() const { return this->term ? this->term->era.value_or(0) : 0; }
     bool followed_by_most_hosts(time_point now) const;
     void reassert_term();
     void write_term_and_owners();
@@ -422,7 +428,10 @@
 
 void coordinator::state::report() {
     if (!this->leading && !this->taking_over && this->table_loaded && this->servers.loaded() &&
-        (!this->term || !this->term->address || this->term->host.empty())) {
+        (!this->term || !this->term->address || this->term->host.empty() ||
+         this->term->host == this->identity)) {
+        // This host holds the term without coordinating if it has stepped down, or if a takeover
+        // was stored although it seemed to fail.
         this->on_coordinator_lost("vacant");
     }
     if (this->leading || this->taking_over || !this->table_loaded || !this->servers.loaded() ||
@@ -548,10 +557,12 @@
         return;
     }
     this->takeover_scheduled = true;
-    this->loop.call_after(backoff, [this, lost] {
+    const std::uint64_t lost_era = this->term_era();
+    this->loop.call_after(backoff, [this, lost, lost_era] {
         this->takeover_scheduled = false;
         const std::uint64_t present = this->term ? this->term->number : 0;
-        if (!this->leading && !this->taking_over && !this->resigned && present == lost) {
+        if (!this->leading && !this->taking_over && !this->resigned && present == lost &&
+            this->term_era() == lost_era) {
             this->take_over();
         }
     });
@@ -574,16 +585,26 @@
 /// Replaces the known term by one of this host (compare-and-swap): if the known term is outdated,
 /// the commit fails with a conflict.
 void coordinator::state::take_over() {
+    if (this->resigned) {
+        this->end_takeover();
+        return;
+    }
     this->taking_over = true;
     term_content new_term;
     new_term.number = (this->term ? this->term->number : 0) + 1;
+    if (this->stored_term && this->stored_term->era && this->store_era &&
+        *this->stored_term->era < *this->store_era) {
+        // Hosts tell owners of different terms apart by their numbers.
+        new_term.number += max_lost_terms;
+    }
     new_term.host = this->identity;
     new_term.address = this->settings.address;
     new_term.era = this->store_era;
     // Without a row, there are no owners yet, unless a restored store has lost them.
     new_term.owners_era = this->stored_term ? this->stored_term->owners_era
-                          : this->term      ? std::optional<std::uint64_t>(0)
-                                            : this->store_era;
+                          : this->store_era.value_or(0) > first_store_era
+                              ? std::optional<std::uint64_t>(0)
+                              : this->store_era;
     stored_row row;
     row.table = std::string(term_table);
     row.key = std::string(term_row);
@@ -662,7 +683,8 @@
 }
 
 bool coordinator::state::is_isolated(time_point now) const {
-    if (now - this->last_store_contact < this->settings.isolation_timeout || this->store_ok) {
+    if (now - this->last_store_contact < this->settings.isolation_timeout ||
+        (this->store_ok && this->store_reachable)) {
         return false;
     }
     return !this->reports.empty() &&
@@ -733,14 +755,15 @@
     this->loop.call_after(this->settings.tick_interval, [this] { this->tick(); });
 }
 
-/// Whether most of the hosts that reported in the last seconds still do. Otherwise another host may
-/// have taken over in the time that the store has lost.
+/// Whether most of the live hosts report. Otherwise another host may have taken over in the time
+/// that the store has lost.
 bool coordinator::state::followed_by_most_hosts(time_point now) const {
-    const auto following =
-        std::count_if(this->reports.begin(), this->reports.end(), [this, now](const auto& entry) {
-            return now - entry.second < this->settings.isolation_timeout / 2;
-        });
-    return 2 * static_cast<std::size_t>(following) >= this->reports.size();
+    const auto reported_within = [this, now](milliseconds age) {
+        return std::count_if(this->reports.begin(), this->reports.end(),
+                             [now, age](const auto& entry) { return now - entry.second < age; });
+    };
+    return 2 * reported_within(this->settings.isolation_timeout / 2) >=
+           reported_within(report_max_age);
 }
 
 /// After the store came back from an older copy, writes the term and the owners that this host
@@ -770,7 +793,13 @@
 void coordinator::state::write_term_and_owners() {
     term_content next = *this->term;
     next.era = this->store_era;
-    next.owners_era = this->owners_verified ? this->store_era : this->term->owners_era;
+    const bool all_managed =
+        std::all_of(this->rows.begin(), this->rows.end(), [this](const auto& entry) {
+            return entry.first.first != owners_table ||
+                   this->managed.contains(service_id(entry.first.second));
+        });
+    next.owners_era =
+        this->owners_verified && all_managed ? this->store_era : this->term->owners_era;
     stored_row term_entry;
     term_entry.table = std::string(term_table);
     term_entry.key = std::string(term_row);
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -513,7 +513,7 @@
         : store(shared), orders(servers) {}
 
     void read(const std::string& table, content_handler done) override {
-        if (!this->lost) {
+        if (!this->lost && !this->store_lost) {
             this->store.read(table, std::move(done));
         }
     }
@@ -521,14 +521,14 @@
                gg::milliseconds wait, content_handler done) override {
         this->store.watch(table, after_version, wait,
                           [this, done = std::move(done)](gg::result<gateway::table_content> found) {
-                              if (!this->lost) {
+                              if (!this->lost && !this->store_lost) {
                                   done(std::move(found));
                               }
                           });
     }
     void commit(const std::vector<gateway::stored_row>& expected,
                 const std::vector<gateway::stored_row>& rows, commit_handler done) override {
-        if (!this->lost) {
+        if (!this->lost && !this->store_lost) {
             this->store.commit(expected, rows, std::move(done));
         }
     }
@@ -540,6 +540,8 @@
     }
 
     bool lost = false;
+    /// No call of the store or its answer gets through.
+    bool store_lost = false;
 
 private:
     memory_store& store;
@@ -1636,6 +1638,53 @@
     BOOST_TEST(test.orders.repeated_fences == 0);
 }
 
+// Guards against two owners of a key because a coordinator that the restored store rejects goes on
+// renewing leases while its successor waits for them to expire.
+BOOST_AUTO_TEST_CASE(rejected_coordinator_stops_renewing_before_its_successor_grants) {
+    coordination_fixture test;
+    test.add_hosts(3);
+    test.run_for(1'500ms);
+    const int first = test.coordinating();
+    BOOST_REQUIRE(first >= 0);
+    test.store.take_copy();
+    test.move_all_keys_to_b();
+    // The servers and the other hosts still reach the coordinator, the store does not answer it.
+    test.hosts[static_cast<std::size_t>(first)]->links.store_lost = true;
+    test.hosts[static_cast<std::size_t>(first)]->part->set_store_reachable(false);
+    gateway::server_entry back = *test.servers.find(gg::server_id("a"));
+    back.draining = false;
+    test.servers.apply({{back.life.id, back, at(3)}}, at(3), wire::event_loop::now());
+    test.restore_store();
+    test.run_for(11'000ms);
+    bool replaced = false;
+    for (std::size_t index = 0; index < test.hosts.size(); ++index) {
+        replaced = replaced ||
+                   (static_cast<int>(index) != first && test.hosts[index]->part->coordinating());
+    }
+    BOOST_TEST(replaced);
+    BOOST_TEST(test.orders.overlapping_grants == 0);
+    BOOST_TEST(test.orders.repeated_fences == 0);
+}
+
+// Guards against a host that holds the term but never coordinates after its takeover failed.
+BOOST_AUTO_TEST_CASE(failed_takeover_after_a_restore_is_tried_again) {
+    coordination_fixture test;
+    test.add_hosts(2);
+    test.run_for(1'500ms);
+    const int first = test.coordinating();
+    BOOST_REQUIRE(first >= 0);
+    test.store.take_copy();
+    // The only other host is lost at the moment of the outage, so most hosts do not report.
+    test.hosts[static_cast<std::size_t>(1 - first)]->links.lost = true;
+    test.run_for(1'300ms);
+    test.store.reject_commits = true;
+    test.restore_store();
+    test.run_for(700ms);
+    test.store.reject_commits = false;
+    test.run_for(2'500ms);
+    BOOST_TEST(test.hosts[static_cast<std::size_t>(first)]->part->coordinating());
+}
+
 // Guards against a successor that waits although the coordinator wrote its owners again after the
 // restore, and against one that does not although it could not.
 BOOST_AUTO_TEST_CASE(owners_written_after_a_restore_are_adopted_at_once) {
