Ask the store again when it may have forgotten a watch call

Change: a takeover replaces all pending calls, also the pause before the next one; an era that the coordinator learns by its own reads reloads all tables; the coordinator's answers name the newest configuration row that it has read, and a host that lacks it 400 ms later asks the store itself. The functions that a coordinator calls are one struct now. The fakes of the gateway's tests lie in a header of their own.

Ruled out: a shorter poll, which would cost each host 30 calls more a minute.

--- a/libs/gateway/include/gateway/coordinator.h
+++ b/libs/gateway/include/gateway/coordinator.h
@@ -118,6 +118,9 @@
     bool pending = false;
     /// The store is reachable from this host.
     bool has_store = true;
+    /// Version of the newest configuration row that this host has read; its number is 0 if it has
+    /// read none.
+    store_version catalogue;
     /// Number of hosts that have reported lately, including this one.
     int hosts = 1;
     std::uint64_t term = 0;
@@ -143,27 +146,33 @@
 /// at least `full_capacity`, up to `max_takeover_delay` without any.
 milliseconds takeover_delay(const coordinator_settings& settings);
 
+/// Functions that a `coordinator` calls. All must be set.
+struct coordinator_handlers {
+    /// The owners of a service's keys have changed; the table is complete.
+    std::function<void(const service_id&, ranges::range_table)> owners_changed;
+    /// A remote coordinator has sent changes of servers.
+    std::function<void(const directory_update&)> servers_relayed;
+    /// A remote coordinator has named the newest configuration row that it has read.
+    std::function<void(const store_version&)> catalogue_named;
+    /// The store has stated an era above the known one.
+    std::function<void(std::uint64_t)> store_era_changed;
+    /// The number of live hosts is known anew.
+    std::function<void(int)> hosts_counted;
+    /// Returns what this host has observed since the last call.
+    std::function<host_report()> collect_report;
+};
+
 /// Leader election and key ownership. One host is the coordinator: it assigns the keys of divided
 /// services to servers and manages their leases. A row of the store holds its term. The other hosts
 /// report to it and receive owners and servers with its answers; if it fails, one of them takes
 /// over.
 class coordinator {
 public:
-    /// Called with the complete owner table of a service whenever it changes.
-    using owners_handler = std::function<void(const service_id&, ranges::range_table)>;
-    /// Called for each answer of a remote coordinator that contains servers.
-    using directory_handler = std::function<void(const directory_update&)>;
-    /// Returns what this host has observed since the last call.
-    using report_source = std::function<host_report()>;
-
     /// @param servers  must outlive the coordinator, like the other references
-    /// @param hosts    called with the number of live hosts
     /// @param seed     seeds the random delays and this process's identity in the term
     coordinator(wire::event_loop& loop, wire::client& peers, table_store& store,
                 order_sender& orders, const directory& servers, telemetry::logger& log,
-                coordinator_settings settings, owners_handler owners,
-                directory_handler on_directory_update, report_source reports,
-                std::function<void(int)> hosts, std::uint64_t seed);
+                coordinator_settings settings, coordinator_handlers handlers, std::uint64_t seed);
     coordinator(const coordinator&) = delete;
     coordinator& operator=(const coordinator&) = delete;
     ~coordinator();
@@ -176,6 +185,8 @@
     /// To be called after each change of the directory.
     void on_directory_changed();
     void set_store_reachable(bool reachable);
+    /// Sets the version of the newest configuration row that this host has read.
+    void set_catalogue_version(const store_version& version);
     /// Sets when the store last confirmed the directory, which bounds the age of relayed data;
     /// empty if this host doesn't watch the servers in the store, and then it relays none.
     void set_directory_confirmed_at(std::optional<time_point> when);
--- a/libs/gateway/include/gateway/table_watch.h
+++ b/libs/gateway/include/gateway/table_watch.h
@@ -53,9 +53,9 @@
     void advance_to(store_version known, time_point when);
     /// Reads the table again if its content is of an earlier era of the store.
     void reload_before(std::uint64_t era);
-    /// Replaces a pending call by one that the store answers immediately. After a network
-    /// interruption, the answer to the pending call may be delayed for seconds by TCP
-    /// retransmission timeouts.
+    /// Replaces a pending call, or the pause before the next one, by a call that the store answers
+    /// immediately. After a network interruption, the answer to the pending call may be delayed for
+    /// seconds by TCP retransmission timeouts, or the store may have forgotten the call.
     void poll_now();
     /// Whether the last call failed.
     bool failing() const { return this->failures > 0; }
@@ -91,7 +91,6 @@
     int failures = 0;
     /// Number of the last call; answers to earlier ones are ignored.
     std::uint64_t last_call = 0;
-    bool call_pending = false;
     bool poll_requested = false;
     bool has_content = false;
     bool paused = false;
--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -130,10 +130,7 @@
     const directory& servers;
     telemetry::logger& log;
     coordinator_settings settings;
-    owners_handler owners;
-    directory_handler on_directory_update;
-    report_source collect_report;
-    std::function<void(int)> on_host_count;
+    coordinator_handlers handlers;
     std::mt19937_64 random;
 
     std::shared_ptr<const catalogue> config{};
@@ -182,6 +179,7 @@
     bool store_ok = true;
     bool store_reachable = true;
     std::optional<time_point> directory_confirmed_at{};
+    store_version catalogue_version{};
     milliseconds batch_delay{0};
     /// Held reports of hosts whose directory has an older version than this are answered
     /// immediately.
@@ -259,12 +257,10 @@
 
 coordinator::coordinator(wire::event_loop& loop, wire::client& peers, table_store& store,
                          order_sender& orders, const directory& servers, telemetry::logger& log,
-                         coordinator_settings settings, owners_handler owners,
-                         directory_handler on_directory_update, report_source reports,
-                         std::function<void(int)> hosts, std::uint64_t seed)
+                         coordinator_settings settings, coordinator_handlers handlers,
+                         std::uint64_t seed)
     : implementation(new state{loop, peers, store, orders, servers, log, std::move(settings),
-                               std::move(owners), std::move(on_directory_update),
-                               std::move(reports), std::move(hosts), std::mt19937_64(seed)}) {
+                               std::move(handlers), std::mt19937_64(seed)}) {
     this->implementation->identity = this->implementation->settings.host.value() + "/" +
                                      std::to_string(this->implementation->random());
 }
@@ -302,12 +298,14 @@
 void coordinator::state::note_content(std::string_view table, const table_content& content,
                                       bool whole) {
     const std::uint64_t era = content.version.era;
-    if (this->store_era && era > *this->store_era) {
+    const bool raised = this->store_era && era > *this->store_era;
+    this->store_era = std::max(era, this->store_era.value_or(era));
+    if (raised) {
         this->needs_reassertion = this->leading;
         telemetry::log_warning(this->log, "store_era_changed",
                                {{"era", era}, {"coordinating", this->leading}});
+        this->handlers.store_era_changed(era);
     }
-    this->store_era = std::max(era, this->store_era.value_or(era));
     if (!whole) {
         return;
     }
@@ -439,7 +437,7 @@
         this->schedule_report(this->settings.report_retry_delay);
         return;
     }
-    host_report content = this->collect_report();
+    host_report content = this->handlers.collect_report();
     content.host = this->settings.host;
     content.term = this->known_term;
     content.at_once = this->missed_reports > 0;
@@ -497,7 +495,7 @@
 }
 
 void coordinator::state::on_answer(const report_answer& answer) {
-    this->on_host_count(answer.hosts);
+    this->handlers.hosts_counted(answer.hosts);
     const time_point now = wire::event_loop::now();
     if (answer.term != this->known_term) {
         this->known_term = answer.term;
@@ -505,7 +503,7 @@
     }
     if (answer.servers) {
         // Apply servers before owners, which may refer to new servers.
-        this->on_directory_update(*answer.servers);
+        this->handlers.servers_relayed(*answer.servers);
     }
     for (const auto& [service, update] : answer.owners) {
         ranges::range_table& known = this->known_owners[service];
@@ -523,7 +521,10 @@
                              {"version", update.version},
                              {"changed", update.ranges.size()},
                              {"ranges", known.ranges.size()}});
-        this->owners(service, known);
+        this->handlers.owners_changed(service, known);
+    }
+    if (answer.catalogue.number != 0) {
+        this->handlers.catalogue_named(answer.catalogue);
     }
     if (answer.has_store || !this->store_reachable) {
         // If this host does not reach the store either, it cannot take over, and the coordinator
@@ -733,7 +734,7 @@
                 this->update_leases(id, now);
             }
         }
-        this->apply_report(this->collect_report(), now);
+        this->apply_report(this->handlers.collect_report(), now);
         if (now - this->last_balance >= this->settings.balance_interval) {
             this->last_balance = now;
             for (auto& [id, service] : this->managed) {
@@ -749,7 +750,7 @@
             const auto live = std::count_if(
                 this->reports.begin(), this->reports.end(),
                 [now](const auto& entry) { return now - entry.second < report_max_age; });
-            this->on_host_count(static_cast<int>(live) + 1);
+            this->handlers.hosts_counted(static_cast<int>(live) + 1);
         }
     }
     this->loop.call_after(this->settings.tick_interval, [this] { this->tick(); });
@@ -1104,7 +1105,7 @@
     ++own.version;
     own.routes = std::move(table);
     this->known_owners[service] = own.routes;
-    this->owners(service, own.routes);
+    this->handlers.owners_changed(service, own.routes);
     this->answer_held_reports(false, now);
 }
 
@@ -1121,6 +1122,7 @@
         return answer;
     }
     answer.term = this->term->number;
+    answer.catalogue = this->catalogue_version;
     if (this->can_relay_directory(report, now)) {
         answer.servers = this->servers.changes_since(report.servers, now);
         if (answer.servers) {
@@ -1220,6 +1222,10 @@
     this->implementation->store_reachable = reachable;
 }
 
+void coordinator::set_catalogue_version(const store_version& version) {
+    this->implementation->catalogue_version = version;
+}
+
 void coordinator::on_directory_changed() {
     state& own = *this->implementation;
     for (const auto& [id, entry] : own.servers.servers()) {
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -31,6 +31,9 @@
 constexpr milliseconds abort_margin{600};
 constexpr milliseconds stop_margin{400};
 constexpr milliseconds update_interval{50};
+/// Longest time by which the coordinator and the store's answer to this host's own watch may differ
+/// in telling of a new configuration.
+constexpr milliseconds max_catalogue_lag{400};
 /// Version of the log schema in docs/logs.md; incremented when a field is removed or changes its
 /// meaning.
 constexpr int log_version = 1;
@@ -63,6 +66,12 @@
     wire::server ready_server;
     wire::server peer_server;
     std::shared_ptr<const catalogue> config;
+    /// Version of the newest configuration row that was read, valid or not.
+    store_version catalogue_version;
+    /// Since when the coordinator has named a newer configuration row than this host has read.
+    std::optional<time_point> catalogue_missing_since;
+    /// `update_watches` has seen this host coordinate.
+    bool was_coordinating = false;
     /// Time at which the directory was last known to be complete.
     time_point servers_as_of;
     /// Until this time the server directory is taken from the coordinator's answers.
@@ -91,29 +100,9 @@
           servers(directory_settings{}),
           frontend(host_loop, this->upstreams, logger, initial_metrics, schema.headers,
                    front_settings_for(host_settings), seed),
-          ownership(
-              host_loop, this->peers, store, orders, this->servers, logger,
-              coordinator_settings_for(host_settings),
-              [this](const service_id& service, ranges::range_table table) {
-                  this->frontend.set_owners(service, std::move(table));
-              },
-              [this](const directory_update& update) { this->on_relayed_servers(update); },
-              [this] {
-                  host_report local_report;
-                  local_report.keys = this->frontend.take_keys();
-                  local_report.speeds = this->frontend.take_service_times();
-                  local_report.ended = this->frontend.take_ended_servers();
-                  return local_report;
-              },
-              [this](int hosts) {
-                  this->frontend.set_host_count(hosts);
-                  const milliseconds batch_delay =
-                      std::clamp(hosts * batch_delay_per_host, min_batch_delay, max_batch_delay);
-                  this->ownership.set_batch_delay(batch_delay);
-                  this->server_watch.set_batch_delay(
-                      this->ownership.coordinating() ? min_batch_delay : batch_delay);
-              },
-              seed + 1),
+          ownership(host_loop, this->peers, store, orders, this->servers, logger,
+                    coordinator_settings_for(host_settings), this->make_coordinator_handlers(),
+                    seed + 1),
           catalogue_watch(host_loop, store, logger, schema.catalogue_table, no_batch_delay,
                           [this](const table_update& update) { this->on_catalogue(update); }),
           server_watch(host_loop, store, logger, schema.server_table, max_batch_delay,
@@ -145,6 +134,36 @@
             [this](const wire::closed_connection& ended) { this->on_caller_connection(ended); });
     }
 
+    coordinator_handlers make_coordinator_handlers() {
+        coordinator_handlers handlers;
+        handlers.owners_changed = [this](const service_id& service, ranges::range_table table) {
+            this->frontend.set_owners(service, std::move(table));
+        };
+        handlers.servers_relayed = [this](const directory_update& update) {
+            this->on_relayed_servers(update);
+        };
+        handlers.catalogue_named = [this](const store_version& version) {
+            this->on_catalogue_named(version, wire::event_loop::now());
+        };
+        handlers.store_era_changed = [this](std::uint64_t era) { this->on_store_era(era); };
+        handlers.hosts_counted = [this](int hosts) {
+            this->frontend.set_host_count(hosts);
+            const milliseconds batch_delay =
+                std::clamp(hosts * batch_delay_per_host, min_batch_delay, max_batch_delay);
+            this->ownership.set_batch_delay(batch_delay);
+            this->server_watch.set_batch_delay(this->ownership.coordinating() ? min_batch_delay
+                                                                              : batch_delay);
+        };
+        handlers.collect_report = [this] {
+            host_report local_report;
+            local_report.keys = this->frontend.take_keys();
+            local_report.speeds = this->frontend.take_service_times();
+            local_report.ended = this->frontend.take_ended_servers();
+            return local_report;
+        };
+        return handlers;
+    }
+
     /// Logs the end of a connection if this host left input of the caller without an answer.
     void on_caller_connection(const wire::closed_connection& ended) {
         if (ended.reason == wire::close_reason::caller ||
@@ -194,6 +213,8 @@
             if (row.key != this->format.catalogue_row || row.removed) {
                 continue;
             }
+            this->catalogue_version = row.version;
+            this->ownership.set_catalogue_version(row.version);
             std::string reason;
             auto read = this->format.parse_catalogue(row.value, reason);
             if (!read) {
@@ -226,6 +247,22 @@
         }
     }
 
+    /// Asks the store again if the coordinator has read a configuration that this host still lacks
+    /// after the time in which its own watch should have returned it: the store may have forgotten
+    /// the pending call.
+    void on_catalogue_named(const store_version& named, time_point now) {
+        if (named <= this->catalogue_version) {
+            this->catalogue_missing_since.reset();
+            return;
+        }
+        if (!this->catalogue_missing_since) {
+            this->catalogue_missing_since = now;
+        } else if (now - *this->catalogue_missing_since >= max_catalogue_lag) {
+            this->catalogue_missing_since = now;
+            this->catalogue_watch.poll_now();
+        }
+    }
+
     void on_directory_changed(const table_update& update) {
         this->on_store_era(update.content.version.era);
         const time_point now = wire::event_loop::now();
@@ -294,7 +331,8 @@
     /// doesn't relay them to. While the store is unavailable, only the watch of the term detects
     /// its return.
     void update_watches(time_point now) {
-        const bool relayed = !this->ownership.coordinating() && now < this->relayed_until;
+        const bool coordinating = this->ownership.coordinating();
+        const bool relayed = !coordinating && now < this->relayed_until;
         const bool reachable = this->term_watch.reachable();
         if (reachable && this->store_reachable == false) {
             // The watch of the servers may have been paused during the outage.
@@ -305,18 +343,22 @@
         }
         const bool failing = this->catalogue_watch.failing() || this->server_watch.failing() ||
                              this->term_watch.failing();
-        if (this->store_failing && !failing) {
+        // Calls that were pending in an outage, or before a takeover, may never be answered.
+        const bool ask_again =
+            (this->store_failing && !failing) || (coordinating && !this->was_coordinating);
+        this->store_failing = failing;
+        this->was_coordinating = coordinating;
+        const bool store_unreachable = this->store_reachable == false;
+        this->catalogue_watch.set_paused(store_unreachable);
+        this->server_watch.set_paused(relayed || store_unreachable);
+        this->server_watch.set_max_wait(coordinating ? coordinator_watch_timeout
+                                                     : default_max_wait);
+        if (ask_again) {
             for (table_watch* watch :
                  {&this->catalogue_watch, &this->server_watch, &this->term_watch}) {
                 watch->poll_now();
             }
         }
-        this->store_failing = failing;
-        const bool store_unreachable = this->store_reachable == false;
-        this->catalogue_watch.set_paused(store_unreachable);
-        this->server_watch.set_paused(relayed || store_unreachable);
-        this->server_watch.set_max_wait(this->ownership.coordinating() ? coordinator_watch_timeout
-                                                                       : default_max_wait);
         this->ownership.set_directory_confirmed_at(relayed ? std::nullopt
                                                            : this->server_watch.last_confirmed());
     }
--- a/libs/gateway/src/reports.cpp
+++ b/libs/gateway/src/reports.cpp
@@ -213,6 +213,10 @@
     text["has_store"] = answer.has_store;
     text["hosts"] = answer.hosts;
     text["term"] = answer.term;
+    if (answer.catalogue.number != 0) {
+        text["catalogue"] = answer.catalogue.number;
+        text["catalogue_era"] = answer.catalogue.era;
+    }
     if (answer.servers) {
         nlohmann::json& written = text["servers"];
         written["version"] = answer.servers->version.number;
@@ -291,6 +295,8 @@
     answer.term = parsed.contains("term") && parsed["term"].is_number_unsigned()
                       ? parsed["term"].get<std::uint64_t>()
                       : 0;
+    answer.catalogue = {number_or_zero(parsed, "catalogue_era"),
+                        number_or_zero(parsed, "catalogue")};
     if (parsed.contains("servers") &&
         !decode_directory_update(parsed["servers"], answer.servers.emplace())) {
         return false;
--- a/libs/gateway/src/table_watch.cpp
+++ b/libs/gateway/src/table_watch.cpp
@@ -92,13 +92,11 @@
 }
 
 void table_watch::read() {
-    this->call_pending = true;
     const std::uint64_t call = ++this->last_call;
     this->store.read(this->table, [this, call](result<table_content> answer) {
         if (call != this->last_call) {
             return;
         }
-        this->call_pending = false;
         if (!answer) {
             // The history may be lost: only a snapshot shows which rows have been removed.
             this->has_content = false;
@@ -148,7 +146,7 @@
 }
 
 void table_watch::poll_now() {
-    if (this->call_pending && this->has_content && !this->paused) {
+    if (this->has_content && !this->paused) {
         this->poll_requested = true;
         this->watch();
     }
@@ -162,14 +160,12 @@
     }
     const bool at_once = std::exchange(this->poll_requested, false) || this->failures > 0;
     const milliseconds longest = at_once ? probe_wait : this->max_wait;
-    this->call_pending = true;
     const std::uint64_t call = ++this->last_call;
     this->store.watch(this->table, this->version, longest,
                       [this, call](result<table_content> answer) {
                           if (call != this->last_call) {
                               return;
                           }
-                          this->call_pending = false;
                           if (!answer) {
                               this->on_failure(answer.error());
                               return;
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE gateway
+#include "fakes.h"
 #include "gateway/balancer.h"
 #include "gateway/catalogue.h"
 #include "gateway/coordinator.h"
@@ -25,22 +26,13 @@
 namespace wire = greengagechute::wire;
 
 using namespace std::chrono_literals;
+using namespace greengagechute::gateway::testing;
 
 namespace {
 
 constexpr gg::milliseconds test_limit{8'000};
 constexpr gg::time_point start{1h};
 
-/// Version in the first era of a store that states none.
-constexpr gateway::store_version at(std::uint64_t number) {
-    return {0, number};
-}
-
-gateway::header_names make_header_names() {
-    return {"Own-Id",        "Own-Deadline", "Own-Signature", "Own-Server", "Own-Load",
-            "Own-Answering", "Own-Not-Run",  "Retry-After",   "Own-Key"};
-}
-
 /// Server that answers with a given handler and counts its requests.
 class fake_server {
 public:
@@ -323,231 +315,6 @@
     return result;
 }
 
-/// In-memory store with a call latency, whose commits can be rejected or lose their result.
-class memory_store : public gateway::table_store {
-public:
-    explicit memory_store(wire::event_loop& own_loop) : loop(own_loop) {}
-
-    void read(const std::string& table, content_handler done) override {
-        ++this->reads;
-        this->after([this, table, done = std::move(done)] {
-            if (this->away) {
-                done(make_error_code(gateway::gateway_errc::store_unavailable));
-                return;
-            }
-            done(this->changes(table, {}));
-        });
-    }
-
-    void watch(const std::string& table, gateway::store_version after_version,
-               gg::milliseconds wait, content_handler done) override {
-        ++this->watches;
-        this->poll_changes(table, after_version, wire::event_loop::now() + wait, std::move(done));
-    }
-
-    void commit(const std::vector<gateway::stored_row>& expected,
-                const std::vector<gateway::stored_row>& rows, commit_handler done) override {
-        ++this->commits;
-        this->after([this, expected, rows, done = std::move(done)] {
-            if (this->reject_commits) {
-                done(gateway::commit_outcome::rejected);
-                return;
-            }
-            for (const gateway::stored_row& row : expected) {
-                if (this->stored[{row.table, row.key}].version.number != row.version.number ||
-                    (row.version.number != 0 && row.version.era != this->version.era)) {
-                    done(gateway::commit_outcome::conflict);
-                    return;
-                }
-            }
-            ++this->version.number;
-            for (gateway::stored_row row : rows) {
-                row.version = this->version;
-                this->stored[{row.table, row.key}] = row;
-            }
-            done(this->lose_answers ? gateway::commit_outcome::unknown
-                                    : gateway::commit_outcome::stored);
-        });
-    }
-
-    /// Writes a row immediately.
-    void put(const std::string& table, const std::string& key, const std::string& value) {
-        ++this->version.number;
-        this->stored[{table, key}] = {table, key, value, this->version};
-    }
-
-    /// Keeps the present content for `restore`.
-    void take_copy() {
-        this->copy = this->stored;
-        this->copy_version = this->version;
-    }
-    /// Comes back from the copy: what was written since is lost, and versions are given out again.
-    void restore() {
-        this->stored = this->copy;
-        this->version = {this->version.era + 1, this->copy_version.number};
-    }
-    const std::string& value(std::string_view table, std::string_view key) {
-        return this->stored[{std::string(table), std::string(key)}].value;
-    }
-
-    gg::milliseconds delay{1};
-    /// Reads and watches fail as if the store were unavailable.
-    bool away = false;
-    /// Pending watches are never answered.
-    bool drops_watches = false;
-    int reads = 0;
-    int watches = 0;
-    bool lose_answers = false;
-    /// Commits are rejected without effect.
-    bool reject_commits = false;
-    int commits = 0;
-
-private:
-    void poll_changes(const std::string& table, gateway::store_version after_version,
-                      gg::time_point until, content_handler done) {
-        this->after([this, table, after_version, until, done = std::move(done)] {
-            if (this->drops_watches) {
-                return;
-            }
-            if (this->away) {
-                done(make_error_code(gateway::gateway_errc::store_unavailable));
-                return;
-            }
-            if (after_version.number > this->version.number) {
-                done(make_error_code(gateway::gateway_errc::history_lost));
-                return;
-            }
-            auto content = this->changes(table, after_version);
-            if (content.rows.empty() && wire::event_loop::now() < until) {
-                this->poll_changes(table, after_version, until, done);
-            } else {
-                done(std::move(content));
-            }
-        });
-    }
-
-    /// Executes a call after `delay`.
-    void after(std::function<void()> action) {
-        this->loop.call_after(this->delay / 2, [this, action = std::move(action)] {
-            this->loop.call_after(this->delay - this->delay / 2, action);
-        });
-    }
-
-    gateway::table_content changes(const std::string& table,
-                                   gateway::store_version after_version) const {
-        gateway::table_content content;
-        for (const auto& [name, row] : this->stored) {
-            if (name.first == table && row.version.number > after_version.number) {
-                content.rows.push_back(row);
-                content.rows.back().version.era = this->version.era;
-            }
-        }
-        content.version = this->version;
-        return content;
-    }
-
-    wire::event_loop& loop;
-    std::map<std::pair<std::string, std::string>, gateway::stored_row> stored;
-    gateway::store_version version;
-    std::map<std::pair<std::string, std::string>, gateway::stored_row> copy;
-    gateway::store_version copy_version;
-};
-
-/// Accepts every order after 1 ms and records the highest fence.
-class accepting_servers : public gateway::order_sender {
-public:
-    explicit accepting_servers(wire::event_loop& own_loop) : loop(own_loop) {}
-
-    void send(const wire::endpoint&, const ranges::lease_command& what,
-              order_handler done) override {
-        this->highest_fence = std::max(this->highest_fence, what.fence);
-        this->check(what, wire::event_loop::now());
-        this->loop.call_after(
-            1ms, [done = std::move(done)] { done(ranges::command_outcome::done, ""); });
-    }
-
-    gg::epoch highest_fence;
-    /// Grants of keys on which another server has a lease, and grants whose fence is not above
-    /// those that other servers have had.
-    int overlapping_grants = 0;
-    int repeated_fences = 0;
-    int releases = 0;
-    std::map<gg::server_id, int> grants;
-
-private:
-    struct lease {
-        gg::server_id server;
-        ranges::key_range keys;
-        gg::epoch fence;
-        gg::time_point until;
-    };
-
-    void check(const ranges::lease_command& what, gg::time_point now) {
-        const bool grant = what.action == ranges::lease_command::kind::grant;
-        (grant ? ++this->grants[what.server.id] : ++this->releases);
-        for (lease& other : this->leases) {
-            if (other.keys.first > what.keys.last || what.keys.first > other.keys.last) {
-                continue;
-            }
-            if (other.server == what.server.id) {
-                other.until = grant ? other.until : now;
-            } else if (grant) {
-                this->overlapping_grants += now < other.until ? 1 : 0;
-                this->repeated_fences += what.fence <= other.fence ? 1 : 0;
-            }
-        }
-        if (grant) {
-            this->leases.push_back(
-                {what.server.id, what.keys, what.fence, now + what.lease_duration});
-        }
-    }
-
-    wire::event_loop& loop;
-    std::vector<lease> leases;
-};
-
-/// A host's connections to the store and the servers. Once `lost`, no call or answer gets through.
-class host_connections : public gateway::table_store, public gateway::order_sender {
-public:
-    host_connections(memory_store& shared, accepting_servers& servers)
-        : store(shared), orders(servers) {}
-
-    void read(const std::string& table, content_handler done) override {
-        if (!this->lost && !this->store_lost) {
-            this->store.read(table, std::move(done));
-        }
-    }
-    void watch(const std::string& table, gateway::store_version after_version,
-               gg::milliseconds wait, content_handler done) override {
-        this->store.watch(table, after_version, wait,
-                          [this, done = std::move(done)](gg::result<gateway::table_content> found) {
-                              if (!this->lost && !this->store_lost) {
-                                  done(std::move(found));
-                              }
-                          });
-    }
-    void commit(const std::vector<gateway::stored_row>& expected,
-                const std::vector<gateway::stored_row>& rows, commit_handler done) override {
-        if (!this->lost && !this->store_lost) {
-            this->store.commit(expected, rows, std::move(done));
-        }
-    }
-    void send(const wire::endpoint& server, const ranges::lease_command& what,
-              order_handler done) override {
-        if (!this->lost) {
-            this->orders.send(server, what, std::move(done));
-        }
-    }
-
-    bool lost = false;
-    /// No call of the store or its answer gets through.
-    bool store_lost = false;
-
-private:
-    memory_store& store;
-    accepting_servers& orders;
-};
-
 /// The coordinator component of one host, reachable by the others over HTTP.
 struct coordinating_host {
     coordinating_host(wire::event_loop& loop, memory_store& store, accepting_servers& orders,
@@ -581,11 +348,7 @@
         settings.capacity = capacity;
         this->part = std::make_unique<gateway::coordinator>(
             loop, this->peers, this->links, this->links, servers, log, settings,
-            [this](const gg::service_id&, ranges::range_table table) {
-                this->owners = std::move(table);
-            },
-            [this](const gateway::directory_update& update) { this->relayed.push_back(update); },
-            [] { return gateway::host_report{}; }, [](int) {}, static_cast<std::uint64_t>(number));
+            this->make_handlers(), static_cast<std::uint64_t>(number));
         auto content = std::make_shared<gateway::catalogue>();
         content->version = 1;
         content->services[gg::service_id("keys")] = {gg::service_id("keys"), true, 10};
@@ -599,6 +362,21 @@
         this->part->start();
     }
 
+    gateway::coordinator_handlers make_handlers() {
+        gateway::coordinator_handlers handlers;
+        handlers.owners_changed = [this](const gg::service_id&, ranges::range_table table) {
+            this->owners = std::move(table);
+        };
+        handlers.servers_relayed = [this](const gateway::directory_update& update) {
+            this->relayed.push_back(update);
+        };
+        handlers.catalogue_named = [](const gateway::store_version&) {};
+        handlers.store_era_changed = [](std::uint64_t) {};
+        handlers.hosts_counted = [](int) {};
+        handlers.collect_report = [] { return gateway::host_report{}; };
+        return handlers;
+    }
+
     host_connections links;
     wire::client peers;
     wire::server server;
--- /dev/null
+++ b/libs/gateway/tests/host_test.cpp
@@ -0,0 +1,235 @@
+#include "fakes.h"
+#include "gateway/catalogue.h"
+#include "gateway/coordinator.h"
+#include "gateway/gateway.h"
+#include "telemetry/logger.h"
+#include "telemetry/metrics.h"
+#include "wire/client.h"
+#include "wire/server.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+// Tests of one whole gateway beside a coordinator that the test plays.
+
+namespace gg = greengagechute;
+namespace gateway = greengagechute::gateway;
+namespace ranges = greengagechute::ranges;
+namespace wire = greengagechute::wire;
+
+using namespace std::chrono_literals;
+using gateway::testing::accepting_servers;
+using gateway::testing::make_header_names;
+using gateway::testing::memory_store;
+
+namespace {
+
+constexpr const char* catalogue_table = "catalogue";
+constexpr const char* catalogue_row = "current";
+constexpr const char* server_table = "servers";
+constexpr gg::milliseconds call_limit{3'000};
+
+/// A port that no other socket uses at the moment.
+std::uint16_t free_port(wire::event_loop& loop) {
+    wire::server probe(loop, [](const std::shared_ptr<wire::incoming>&) {});
+    BOOST_REQUIRE(!probe.open({"127.0.0.1", 0}));
+    return probe.port();
+}
+
+/// The row is the version; from version 2 on there is a route `/new/`.
+std::optional<gateway::catalogue> parse_catalogue(std::string_view text, std::string&) {
+    gateway::catalogue content;
+    content.version = std::stoull(std::string(text));
+    content.services[gg::service_id("keys")] = {gg::service_id("keys"), true, 10};
+    content.services[gg::service_id("plain")] = {gg::service_id("plain"), false, 10};
+    const auto add = [&content](const std::string& prefix, const std::string& service) {
+        gateway::route made;
+        made.name = prefix;
+        made.host = "h";
+        made.prefix = prefix;
+        made.kind = gateway::request_kind::unsafe;
+        made.max_attempts = 2;
+        made.timeout = 2s;
+        made.services.push_back({gg::service_id(service), 1});
+        content.routes.push_back(made);
+    };
+    add("/keys/", "keys");
+    add("/plain/", "plain");
+    if (content.version >= 2) {
+        add("/new/", "plain");
+    }
+    return content;
+}
+
+/// The row is "SERVICE PORT STATE".
+std::optional<gateway::server_entry> parse_server_entry(const gateway::stored_row& row,
+                                                        std::string&) {
+    const std::size_t first = row.value.find(' ');
+    const std::size_t second = row.value.find(' ', first + 1);
+    gateway::server_entry entry;
+    entry.life = {gg::server_id(row.key), 1};
+    entry.service = gg::service_id(row.value.substr(0, first));
+    entry.address = {"127.0.0.1", static_cast<std::uint16_t>(
+                                      std::stoi(row.value.substr(first + 1, second - first - 1)))};
+    entry.data_centre = gg::data_centre_id("dc");
+    entry.slots = 3;
+    entry.draining = row.value.substr(second + 1) == "draining";
+    return entry;
+}
+
+/// A gateway, its store, servers that accept each order, and the coordinator that the store names
+/// at first.
+struct host_fixture {
+    wire::event_loop loop;
+    std::shared_ptr<gg::telemetry::logger> log;
+    gg::telemetry::metrics numbers;
+    memory_store store{loop};
+    accepting_servers orders{loop};
+    gateway::gateway_settings settings;
+    std::unique_ptr<gateway::gateway> host;
+    /// What the coordinator answers to reports.
+    gateway::report_answer answer;
+    std::unique_ptr<wire::server> coordinator;
+
+    host_fixture() {
+        gg::telemetry::logger_options options;
+        options.minimum = gg::telemetry::level::error;
+        this->log = *gg::telemetry::logger::create(options);
+        this->settings.host = gg::host_id("host-1");
+        this->settings.data_centre = gg::data_centre_id("dc");
+        this->settings.front = {"127.0.0.1", free_port(this->loop)};
+        this->settings.ready = {"127.0.0.1", free_port(this->loop)};
+        this->settings.peers = {"127.0.0.1", free_port(this->loop)};
+        this->answer.coordinating = true;
+        this->answer.hosts = 2;
+        this->answer.term = 1;
+        this->store.put(catalogue_table, catalogue_row, "1");
+        this->put_server("a", "ready");
+        this->put_server("b", "ready");
+        const ranges::range_table owned{{{{}, {gg::server_id("a"), 1}}}};
+        this->store.put(std::string(gateway::owners_table), "keys", ranges::encode(owned));
+    }
+
+    void put_server(const std::string& id, const std::string& state) {
+        this->store.put(server_table, id, "keys 1 " + state);
+    }
+
+    /// Lets the store name a coordinator whose answers the test sets.
+    void start_coordinator() {
+        this->coordinator = std::make_unique<wire::server>(
+            this->loop, [this](const std::shared_ptr<wire::incoming>& asked) {
+                wire::response reply;
+                reply.code = 200;
+                reply.body = encode(this->answer);
+                this->loop.call_after(50ms, [asked, reply] { asked->answer(reply); });
+            });
+        BOOST_REQUIRE(!this->coordinator->open({"127.0.0.1", 0}));
+        this->store.put(std::string(gateway::term_table), "coordinator",
+                        R"({"term":1,"host":"other/1","address":"127.0.0.1:)" +
+                            std::to_string(this->coordinator->port()) + "\"}");
+    }
+    /// The coordinator's process is lost: connections to it are refused.
+    void lose_coordinator() { this->coordinator.reset(); }
+
+    void start_host() {
+        gateway::row_format format;
+        format.catalogue_table = catalogue_table;
+        format.catalogue_row = catalogue_row;
+        format.server_table = server_table;
+        format.parse_catalogue = parse_catalogue;
+        format.parse_server_entry = parse_server_entry;
+        format.headers = make_header_names();
+        this->host =
+            std::make_unique<gateway::gateway>(this->loop, this->store, this->orders, *this->log,
+                                               this->numbers, format, this->settings, 1);
+        BOOST_REQUIRE(!this->host->start());
+    }
+
+    /// The store forgets the calls that wait for changes, without a word to the caller.
+    void drop_pending_watches() {
+        this->store.drops_watches = true;
+        this->run_for(100ms);
+        this->store.drops_watches = false;
+    }
+
+    void run_for(gg::milliseconds time) {
+        this->loop.call_after(time, [this] { this->loop.stop(); });
+        this->loop.run();
+    }
+
+    /// Status of the answer to a request of a caller.
+    int ask(const std::string& target) {
+        wire::client caller(this->loop, {});
+        wire::request message;
+        message.method = "POST";
+        message.target = target;
+        message.headers = {{"Host", "h"}, {"Own-Id", "r1"}, {"Own-Deadline", "500"}};
+        wire::call_options options;
+        options.timeout = call_limit;
+        int code = 0;
+        caller.send(this->settings.front, message, options,
+                    [this, &code](const wire::call_result& outcome) {
+                        code = outcome.message.code;
+                        this->loop.stop();
+                    });
+        this->loop.run();
+        return code;
+    }
+};
+
+}  // namespace
+
+// Guards against a coordinator that goes on granting keys to a server that leaves: the store has
+// forgotten the call by which the host watched the servers before it took over, and the host
+// notices only when that call times out.
+BOOST_AUTO_TEST_CASE(takeover_asks_for_changes_of_servers_again) {
+    host_fixture test;
+    test.start_coordinator();
+    test.start_host();
+    test.run_for(1s);
+    test.drop_pending_watches();
+    test.lose_coordinator();
+    test.put_server("a", "draining");
+    test.run_for(3s);
+    BOOST_TEST(test.orders.releases > 0);
+    BOOST_TEST(test.orders.grants[gg::server_id("b")] > 0);
+}
+
+// Guards against a coordinator that learns by its own reads that the store came back from a copy,
+// while the calls that watch the tables were forgotten by the store and wait for its answer.
+BOOST_AUTO_TEST_CASE(new_era_seen_by_the_coordinator_reloads_the_tables) {
+    host_fixture test;
+    test.start_host();
+    test.run_for(2s);
+    BOOST_REQUIRE(test.orders.grants[gg::server_id("a")] > 0);
+    test.store.take_copy();
+    test.drop_pending_watches();
+    test.store.restore();
+    // Its keys move, so that the coordinator writes to the store.
+    test.orders.refusing.insert(gg::server_id("a"));
+    test.put_server("c", "ready");
+    test.store.put(catalogue_table, catalogue_row, "2");
+    test.run_for(3s);
+    BOOST_TEST(test.ask("/new/x") != 404);
+}
+
+// Guards against a configuration that a host learns only when the call by which it watches the
+// configuration times out, because the store has forgotten that call.
+BOOST_AUTO_TEST_CASE(configuration_named_by_the_coordinator_is_asked_for) {
+    host_fixture test;
+    test.start_coordinator();
+    test.start_host();
+    test.run_for(1s);
+    test.drop_pending_watches();
+    test.store.put(catalogue_table, catalogue_row, "2");
+    test.answer.catalogue = test.store.version_of(catalogue_table, catalogue_row);
+    test.run_for(1'500ms);
+    BOOST_TEST(test.ask("/new/x") != 404);
+}
