Let the coordinator's successor know of outages of the store

A host knew only the outages that it met while it coordinated. One that took over as the store came back took the closed listener of a leaving server for the end of its process and gave its keys away 2 s early.

Change: answers of the coordinator state the age of the last known outage; each host notes those that it meets, coordinating or not; a new coordinator trusts refused connections only once the store has confirmed the directory since its takeover.

Ruled out: doubting refusals after each takeover, which would keep the keys of a crashed server for a whole lease each time.

--- a/libs/gateway/include/gateway/coordinator.h
+++ b/libs/gateway/include/gateway/coordinator.h
@@ -118,6 +118,8 @@
     bool pending = false;
     /// The store is reachable from this host.
     bool has_store = true;
+    /// Time since the store was last known to be unavailable; empty if that no longer matters.
+    std::optional<milliseconds> store_outage_age;
     /// Version of the newest configuration row that this host has read; its number is 0 if it has
     /// read none.
     store_version catalogue;
@@ -185,6 +187,9 @@
     /// To be called after each change of the directory.
     void on_directory_changed();
     void set_store_reachable(bool reachable);
+    /// Records that the store is unavailable to this host now. For some time afterwards, refused
+    /// connections do not prove that a server has ended, since a leaving server could not say so.
+    void note_store_outage(time_point now);
     /// Sets the version of the newest configuration row that this host has read.
     void set_catalogue_version(const store_version& version);
     /// Sets when the store last confirmed the directory, which bounds the age of relayed data;
--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -173,8 +173,11 @@
     time_point last_tick{};
     time_point last_balance{};
     time_point last_store_contact{};
-    /// Last time at which the store was known to be unavailable.
+    /// Last time at which the store was known to be unavailable, to this host or to a coordinator
+    /// that it followed.
     time_point last_store_outage{};
+    /// Start of this host's term as the coordinator.
+    time_point coordinating_since{};
     /// The last commit, or the read after it, succeeded or ended in a conflict.
     bool store_ok = true;
     bool store_reachable = true;
@@ -245,6 +248,9 @@
     void commit(const service_id& service, const ranges::range_table& table);
     void verify_commit(const service_id& service, const std::string& value);
     bool is_isolated(time_point now) const;
+    void note_store_outage(time_point when);
+    bool is_settling(time_point now) const;
+    bool knows_leaving_servers(time_point now) const;
 };
 
 milliseconds takeover_delay(const coordinator_settings& settings) {
@@ -523,6 +529,9 @@
                              {"ranges", known.ranges.size()}});
         this->handlers.owners_changed(service, known);
     }
+    if (answer.store_outage_age) {
+        this->note_store_outage(now - *answer.store_outage_age);
+    }
     if (answer.catalogue.number != 0) {
         this->handlers.catalogue_named(answer.catalogue);
     }
@@ -665,6 +674,7 @@
     this->last_tick = now;
     this->last_balance = now;
     this->last_store_contact = now;
+    this->coordinating_since = now;
     this->needs_reassertion = false;
     this->owners_verified = !this->term->owners_era || this->term->owners_era == this->store_era;
     telemetry::log_info(this->log, "coordinating",
@@ -714,7 +724,7 @@
     }
     this->last_tick = now;
     if (!this->store_ok || !this->store_reachable) {
-        this->last_store_outage = now;
+        this->note_store_outage(now);
     }
     this->answer_held_reports(false, now);
     if (!this->owners_verified && !this->managed.empty() &&
@@ -927,6 +937,23 @@
     }
 }
 
+void coordinator::state::note_store_outage(time_point when) {
+    this->last_store_outage = std::max(this->last_store_outage, when);
+}
+
+bool coordinator::state::is_settling(time_point now) const {
+    return now - this->last_store_outage <= this->settings.store_settle_time;
+}
+
+/// Whether each server that has begun to leave is known to do so: the store has confirmed the
+/// directory since this host coordinates, and there was no outage in which a server could not
+/// report that it leaves.
+bool coordinator::state::knows_leaving_servers(time_point now) const {
+    return !this->is_settling(now) && this->directory_confirmed_at &&
+           *this->directory_confirmed_at >= this->coordinating_since &&
+           now - *this->directory_confirmed_at < this->settings.relay_max_age;
+}
+
 void coordinator::state::update_leases(const service_id& service, time_point now) {
     auto found = this->managed.find(service);
     if (found == this->managed.end()) {
@@ -956,7 +983,7 @@
         if (entry.service == service) {
             const bool stays = !entry.draining && !this->ended.contains(entry.life);
             const bool steady = stays && !this->servers.awaits_reregistration(id) &&
-                                now - this->last_store_outage > this->settings.store_settle_time;
+                                this->knows_leaving_servers(now);
             candidates.push_back({entry.life, weight_of(own, entry), stays, steady});
         }
     }
@@ -1123,6 +1150,9 @@
     }
     answer.term = this->term->number;
     answer.catalogue = this->catalogue_version;
+    if (this->is_settling(now)) {
+        answer.store_outage_age = std::chrono::floor<milliseconds>(now - this->last_store_outage);
+    }
     if (this->can_relay_directory(report, now)) {
         answer.servers = this->servers.changes_since(report.servers, now);
         if (answer.servers) {
@@ -1222,6 +1252,10 @@
     this->implementation->store_reachable = reachable;
 }
 
+void coordinator::note_store_outage(time_point now) {
+    this->implementation->note_store_outage(now);
+}
+
 void coordinator::set_catalogue_version(const store_version& version) {
     this->implementation->catalogue_version = version;
 }
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -684,10 +684,14 @@
     BOOST_TEST(read.speeds.at(gg::service_id("s")).at(gg::server_id("i")).count == 2);
     gateway::report_answer answer;
     answer.term = 4;
+    answer.store_outage_age = 1'200ms;
+    answer.catalogue = {2, 31};
     answer.owners[gg::service_id("s")] = {
         3, true, {{{0, 9}, {gg::server_id("a"), 1}}, {{10, 65'535}, {gg::server_id("b"), 2}}}};
     gateway::report_answer read_answer;
     BOOST_REQUIRE(decode(encode(answer), read_answer));
+    BOOST_CHECK(read_answer.store_outage_age == 1'200ms);
+    BOOST_CHECK((read_answer.catalogue == gateway::store_version{2, 31}));
     BOOST_TEST(read_answer.owners.at(gg::service_id("s")).version == 3U);
     BOOST_TEST(read_answer.owners.at(gg::service_id("s")).ranges[1].owner.id.value() == "b");
     gateway::server_entry entry;
--- a/libs/gateway/tests/host_test.cpp
+++ b/libs/gateway/tests/host_test.cpp
@@ -233,3 +233,34 @@
     test.run_for(1'500ms);
     BOOST_TEST(test.ask("/new/x") != 404);
 }
+
+// Guards against two owners of a key: a leaving server closed its listener during an outage of the
+// store that only the former coordinator has met, and still works under its lease. A refused
+// connection must not free its keys.
+BOOST_AUTO_TEST_CASE(outage_met_by_the_former_coordinator_is_known_to_its_successor) {
+    host_fixture test;
+    test.start_coordinator();
+    test.start_host();
+    test.run_for(1s);
+    test.answer.store_outage_age = 300ms;
+    test.run_for(300ms);
+    test.orders.refusing.insert(gg::server_id("a"));
+    test.lose_coordinator();
+    test.run_for(ranges::lease_settings{}.lease_duration);
+    BOOST_TEST(test.orders.grants[gg::server_id("b")] == 0);
+    test.run_for(ranges::lease_settings{}.outage_lease_duration);
+    BOOST_TEST(test.orders.grants[gg::server_id("b")] > 0);
+}
+
+// Guards against keys that wait for a lease to expire although the owner's process has ended and
+// the store was reachable throughout.
+BOOST_AUTO_TEST_CASE(refused_connections_free_keys_after_a_takeover_without_an_outage) {
+    host_fixture test;
+    test.start_coordinator();
+    test.start_host();
+    test.run_for(1s);
+    test.orders.refusing.insert(gg::server_id("a"));
+    test.lose_coordinator();
+    test.run_for(1'500ms);
+    BOOST_TEST(test.orders.grants[gg::server_id("b")] > 0);
+}
