Reset the connections of calls that are given up

Ruled out: leases counted too short (the late grants came about 1 s after the end of the cut) and a change of the coordinator (one term made all fences).

Change: a call that ends without its response resets its connection. Connections for orders are reset whenever they end, so that a killed process leaves no grant behind either.

Result: given_up_call_leaves_no_bytes_behind and killed_process_leaves_no_bytes_of_abortive_connections_behind failed before and pass.

--- a/libs/wire/include/wire/client.h
+++ b/libs/wire/include/wire/client.h
@@ -65,10 +65,15 @@
 };
 
 /// HTTP/1.1 client with connections that are used again. One exchange at a time on a connection; a
-/// request is never sent a second time.
+/// request is never sent a second time. The connection of a call that ends without its response is
+/// reset, so that nothing of the request arrives later than the packets that are on their way.
 class client {
 public:
-    client(event_loop& loop, idle_limits limits, response_limits bounds = {});
+    /// @param mode  how connections without a call are closed. With `abortive`, nothing of a
+    /// request
+    ///              arrives late also if this process is killed.
+    client(event_loop& loop, idle_limits limits, response_limits bounds = {},
+           close_mode mode = close_mode::orderly);
     client(const client&) = delete;
     client& operator=(const client&) = delete;
     ~client();
@@ -76,7 +81,7 @@
     /// `done` is called once, unless the call is cancelled.
     call_id send(const endpoint& address, const request& message, const call_options& options,
                  call_handler done);
-    /// Closes the connection of the call, so that the server stops its work. No effect on a call
+    /// Resets the connection of the call, so that the server stops its work. No effect on a call
     /// that has ended.
     void cancel(call_id id);
     /// Connections opened so far.
@@ -93,7 +98,7 @@
     void complete(const std::shared_ptr<connection>& channel, std::string_view rest);
     void fail(const std::shared_ptr<connection>& channel, wire_errc code);
     void keep(const std::shared_ptr<connection>& channel, const response& message, time_point now);
-    void drop(const std::shared_ptr<connection>& channel);
+    void drop(const std::shared_ptr<connection>& channel, close_mode mode = close_mode::orderly);
     void end_call(const std::shared_ptr<call>& ended, call_result outcome);
 
     void forget_received(connection& channel);
@@ -101,6 +106,7 @@
     event_loop& loop;
     idle_limits limits;
     response_limits bounds;
+    close_mode mode;
     /// Bytes received for the open calls.
     std::size_t received_bytes = 0;
     std::uint64_t last_id = 0;
--- a/libs/wire/include/wire/stream.h
+++ b/libs/wire/include/wire/stream.h
@@ -45,6 +45,16 @@
     leave_unread,
 };
 
+/// How a connection is closed.
+enum class close_mode {
+    /// The system still delivers the bytes that it has taken, also seconds later when a broken path
+    /// works again.
+    orderly,
+    /// The connection is reset: bytes that have not reached the peer's system are lost. The peer
+    /// may not learn of the end if the reset is lost.
+    abortive,
+};
+
 /// Calls made by a stream. None is made after `ended`, or after `stream::close`.
 struct stream_handlers {
     std::function<void()> connected;
@@ -58,8 +68,11 @@
 class stream {
 public:
     /// Opens a connection; `connected` or `ended` follows.
+    /// @param mode  with `abortive`, each end of this side's resets the connection, also the end of
+    ///              the process
     static std::shared_ptr<stream> connect(event_loop& loop, const endpoint& address,
-                                           stream_handlers handlers);
+                                           stream_handlers handlers,
+                                           close_mode mode = close_mode::orderly);
 
     stream(const stream&) = delete;
     stream& operator=(const stream&) = delete;
@@ -71,8 +84,8 @@
     std::size_t pending() const;
     /// Stops and resumes calls of `data`.
     void set_reading(bool enabled);
-    /// Closes at once; bytes that have not left are lost.
-    void close();
+    /// Closes at once; bytes that the system has not taken yet are lost.
+    void close(close_mode mode = close_mode::orderly);
     /// Sends what is pending, closes the sending side, and closes the connection a short time
     /// later.
     /// @param closed  called when the connection is closed, with the number of discarded bytes
--- a/libs/wire/src/client.cpp
+++ b/libs/wire/src/client.cpp
@@ -63,15 +63,16 @@
     time_point idle_until;
 };
 
-client::client(event_loop& owner, idle_limits idle_rules, response_limits response_bounds)
-    : loop(owner), limits(idle_rules), bounds(response_bounds) {}
+client::client(event_loop& owner, idle_limits idle_rules, response_limits response_bounds,
+               close_mode idle_mode)
+    : loop(owner), limits(idle_rules), bounds(response_bounds), mode(idle_mode) {}
 
 client::~client() {
     for (auto& [id, open_call] : this->calls) {
         this->loop.cancel(open_call->timeout);
         this->loop.cancel(open_call->connect_timeout);
         if (open_call->channel) {
-            open_call->channel->socket->close();
+            open_call->channel->socket->close(close_mode::abortive);
             open_call->channel->current = nullptr;
             open_call->channel = nullptr;
         }
@@ -149,7 +150,8 @@
     };
     handlers.data = [this, channel](std::string_view bytes) { this->on_data(channel, bytes); };
     handlers.ended = [this, channel](stream_end how) { this->on_end(channel, how); };
-    channel->socket = stream::connect(this->loop, started->address, std::move(handlers));
+    channel->socket =
+        stream::connect(this->loop, started->address, std::move(handlers), this->mode);
 }
 
 void client::dispatch(const std::shared_ptr<connection>& channel,
@@ -265,11 +267,11 @@
     channels.push_back(channel);
 }
 
-void client::drop(const std::shared_ptr<connection>& channel) {
+void client::drop(const std::shared_ptr<connection>& channel, close_mode how) {
     if (!channel->dropped) {
         channel->dropped = true;
         // Releases the handlers, which refer to the connection.
-        channel->socket->close();
+        channel->socket->close(how);
     }
 }
 
@@ -282,7 +284,7 @@
     if (ended->channel) {
         ended->channel->current = nullptr;
         this->forget_received(*ended->channel);
-        this->drop(ended->channel);
+        this->drop(ended->channel, close_mode::abortive);
         ended->channel = nullptr;
     }
     outcome.sent = ended->sent;
--- a/libs/wire/src/stream.cpp
+++ b/libs/wire/src/stream.cpp
@@ -21,7 +21,7 @@
 /// flows.
 constexpr unsigned user_timeout_ms = 8'000;
 /// Time for which a closed connection still discards what the peer sends.
-constexpr milliseconds linger{1'000};
+constexpr milliseconds linger_time{1'000};
 constexpr unsigned read_size = 16'384;
 /// Connections that wait to be accepted.
 constexpr int backlog = 511;
@@ -56,6 +56,16 @@
     }
 }
 
+/// Makes each close of the socket reset the connection, also the one at the end of the process.
+void reset_on_close(uv_tcp_t& handle) {
+    uv_os_fd_t descriptor = -1;
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): libuv's handle inheritance.
+    if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle), &descriptor) == 0) {
+        const linger at_once{1, 0};
+        setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    }
+}
+
 }  // namespace
 
 result<endpoint> parse_endpoint(std::string_view text) {
@@ -89,6 +99,7 @@
     uv_connect_t connecting{};
     uv_shutdown_t shutting{};
     stream_handlers handlers;
+    close_mode mode = close_mode::orderly;
     /// Keeps the memory until libuv has closed the handle.
     std::shared_ptr<state> self;
     std::size_t pending = 0;
@@ -129,6 +140,9 @@
         if (const auto notify = std::exchange(this->finished, {})) {
             notify(this->discarded);
         }
+        if (this->mode == close_mode::abortive) {
+            reset_on_close(this->handle);
+        }
         uv_close(this->as_handle(), [](uv_handle_t* closed) {
             const auto released = std::move(static_cast<state*>(closed->data)->self);
         });
@@ -201,6 +215,9 @@
             return;
         }
         set_options(this->handle);
+        if (this->mode == close_mode::abortive) {
+            reset_on_close(this->handle);
+        }
         this->start_reading();
         if (this->handlers.connected) {
             const auto connected = this->handlers.connected;
@@ -222,10 +239,11 @@
 }
 
 std::shared_ptr<stream> stream::connect(event_loop& loop, const endpoint& address,
-                                        stream_handlers handlers) {
+                                        stream_handlers handlers, close_mode mode) {
     auto opened = std::make_shared<state>(loop);
     opened->open(opened);
     opened->handlers = std::move(handlers);
+    opened->mode = mode;
     opened->connecting.data = opened.get();
     sockaddr_in target{};
     int code = UV_EINVAL;
@@ -292,7 +310,10 @@
     }
 }
 
-void stream::close() {
+void stream::close(close_mode mode) {
+    if (mode == close_mode::abortive) {
+        this->implementation->mode = mode;
+    }
     this->implementation->close();
 }
 
@@ -313,7 +334,7 @@
     const auto after_shutdown = [](uv_shutdown_t* request, int) {
         const auto keep = static_cast<state*>(request->data)->self;
         if (keep && !keep->closing) {
-            keep->linger_timer = keep->loop.call_after(linger, [keep] { keep->close(); });
+            keep->linger_timer = keep->loop.call_after(linger_time, [keep] { keep->close(); });
         }
     };
     if (uv_shutdown(&own.shutting, own.as_stream(), after_shutdown) != 0) {
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -9,9 +9,12 @@
 #include <boost/test/unit_test.hpp>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <csignal>
 #include <functional>
 #include <memory>
 #include <string>
@@ -171,6 +174,51 @@
     int descriptor;
 };
 
+/// A peer that accepts connections and reads nothing until it is asked to, like one at the end of a
+/// path that holds packets back. Its socket holds only a few kilobytes.
+class unread_peer {
+public:
+    unread_peer() : descriptor(::socket(AF_INET, SOCK_STREAM, 0)) {
+        const int buffer = 2'048;
+        ::setsockopt(this->descriptor, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        // NOLINTBEGIN(cppcoreguidelines-pro-type-reinterpret-cast): socket address types.
+        BOOST_REQUIRE(::bind(this->descriptor, reinterpret_cast<sockaddr*>(&address), size) == 0);
+        BOOST_REQUIRE(::listen(this->descriptor, 8) == 0);
+        ::getsockname(this->descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+        // NOLINTEND(cppcoreguidelines-pro-type-reinterpret-cast)
+        this->bound_port = ntohs(address.sin_port);
+    }
+    unread_peer(const unread_peer&) = delete;
+    unread_peer& operator=(const unread_peer&) = delete;
+    ~unread_peer() { ::close(this->descriptor); }
+
+    wire::endpoint address() const { return {"127.0.0.1", this->bound_port}; }
+
+    /// Reads the oldest connection until it ends or is silent for 1 s; returns the bytes read.
+    std::size_t read_all() const {
+        const int opened = ::accept(this->descriptor, nullptr, nullptr);
+        BOOST_REQUIRE(opened >= 0);
+        timeval limit{1, 0};
+        ::setsockopt(opened, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+        std::size_t sum = 0;
+        std::array<char, 4'096> buffer{};
+        for (ssize_t count = 1; count > 0;
+             sum += static_cast<std::size_t>(std::max<ssize_t>(0, count))) {
+            count = ::recv(opened, buffer.data(), buffer.size(), 0);
+        }
+        ::close(opened);
+        return sum;
+    }
+
+private:
+    int descriptor;
+    std::uint16_t bound_port = 0;
+};
+
 }  // namespace
 
 // Guards against rewritten paths: an encoded slash and dot segments must arrive as they were sent.
@@ -660,6 +708,64 @@
     BOOST_TEST(cut.error == make_error_code(wire::wire_errc::truncated));
 }
 
+// Guards against a request that reaches the peer after its call was given up: the system goes on
+// sending the bytes of a connection that was closed in the ordinary way, and delivers them seconds
+// later when the path to the peer works again.
+BOOST_AUTO_TEST_CASE(given_up_call_leaves_no_bytes_behind) {
+    constexpr std::size_t body_size = 65'536;
+    const auto message = [] {
+        wire::request sent = get("/");
+        sent.method = "POST";
+        sent.body = std::string(body_size, 'b');
+        return sent;
+    };
+    wire::event_loop loop;
+    wire::client client(loop, {});
+    wire::call_options options;
+    options.timeout = gg::milliseconds{100};
+    unread_peer late;
+    const auto outcome = call(loop, client, late.address(), message(), options);
+    BOOST_TEST(outcome.error == make_error_code(wire::wire_errc::timeout));
+    BOOST_TEST(late.read_all() < body_size);
+
+    // The same for a call that is cancelled, and for calls that are open when the client ends.
+    unread_peer cancelled;
+    const auto id = client.send(cancelled.address(), message(), {}, {});
+    loop.call_after(gg::milliseconds{100}, [&] { client.cancel(id); });
+    unread_peer ended;
+    auto other = std::make_unique<wire::client>(loop, wire::idle_limits{});
+    other->send(ended.address(), message(), {}, {});
+    loop.call_after(gg::milliseconds{100}, [&] { other.reset(); });
+    loop.call_after(gg::milliseconds{200}, [&] { loop.stop(); });
+    loop.run();
+    BOOST_TEST(cancelled.read_all() < body_size);
+    BOOST_TEST(ended.read_all() < body_size);
+}
+
+// Guards against a grant that arrives after the process that sent it was killed: its system goes on
+// sending what the process has written.
+BOOST_AUTO_TEST_CASE(killed_process_leaves_no_bytes_of_abortive_connections_behind) {
+    constexpr std::size_t body_size = 65'536;
+    const auto bytes_after_kill = [](wire::close_mode mode) {
+        unread_peer peer;
+        const pid_t child = ::fork();
+        if (child == 0) {
+            wire::event_loop loop;
+            wire::client client(loop, {}, {}, mode);
+            wire::request message = get("/");
+            message.body = std::string(body_size, 'b');
+            client.send(peer.address(), message, {}, {});
+            loop.call_after(gg::milliseconds{100}, [] { ::kill(::getpid(), SIGKILL); });
+            loop.run();
+        }
+        int state = 0;
+        BOOST_REQUIRE(::waitpid(child, &state, 0) == child);
+        return peer.read_all();
+    };
+    BOOST_TEST(bytes_after_kill(wire::close_mode::abortive) < body_size);
+    BOOST_TEST(bytes_after_kill(wire::close_mode::orderly) > body_size);
+}
+
 BOOST_AUTO_TEST_CASE(endpoints_are_checked) {
     BOOST_TEST(wire::parse_endpoint("10.1.0.10:8161").has_value());
     for (const char* text : {"", "10.1.0.10", "10.1.0.10:", "10.1.0:1", "h:1", "10.1.0.10:99999"}) {
--- a/programs/greengagechute-gateway/main.cpp
+++ b/programs/greengagechute-gateway/main.cpp
@@ -93,7 +93,10 @@
     gg::wire::event_loop loop;
     gg::wire::client calls(loop, {});
     const auto store = gg::adapter::make_store(calls, settings.store);
-    const auto orders = gg::adapter::make_orders(calls);
+    // A grant that arrives after it was given up, or after this process has ended, would let a
+    // server keep keys that another server owns by then.
+    gg::wire::client order_calls(loop, {}, {}, gg::wire::close_mode::abortive);
+    const auto orders = gg::adapter::make_orders(order_calls);
     const std::uint64_t seed =
         (static_cast<std::uint64_t>(std::random_device{}()) << 32U) | std::random_device{}();
     gg::gateway::gateway router(loop, *store, *orders, logger, numbers,
