Take no response as an answer that does not name its request

Cause (report of other operators: a second copy of an answer, late, on a connection that was in use again): copies with the id of an earlier request were skipped, but a response without an id answered whatever request the connection was in use for.

Change: a response without the id counts as a failed attempt whose outcome is unknown, as a refusal without the id did before.

Result: response_without_an_id_is_no_answer failed before (200, 404 and 500 reached the caller) and passes.

--- a/libs/gateway/include/gateway/errors.h
+++ b/libs/gateway/include/gateway/errors.h
@@ -22,7 +22,7 @@
     attempts_spent = 1510,
     quarantined = 1511,
     invalid_deadline = 1512,
-    unidentified_refusal = 1513,
+    unidentified_response = 1513,
 };
 
 /// Returns all error codes of the gateway library with their names and messages.
--- a/libs/gateway/src/errors.cpp
+++ b/libs/gateway/src/errors.cpp
@@ -20,7 +20,7 @@
     error_entry{1510, "attempts_spent", "no further server may be tried"},
     error_entry{1511, "quarantined", "servers were lost while they ran this request"},
     error_entry{1512, "invalid_deadline", "the deadline is no positive number"},
-    error_entry{1513, "unidentified_refusal", "the refusal does not name the refused request"},
+    error_entry{1513, "unidentified_response", "the response does not name its request"},
 };
 
 }  // namespace
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -818,15 +818,15 @@
     const bool identified =
         active->id.empty() || replaced ||
         wire::find_header(outcome.message.headers, this->names.request_id) != nullptr;
-    if (not_run && !identified) {
-        // The server may have repeated its refusal of an earlier request.
+    if (!identified) {
+        // The server may have repeated its response to an earlier request.
         if (server != nullptr) {
             const time_point before = server->paused_until;
             record_no_response(*server, this->settings.balancer, now);
             this->log_pause(*server, before, now);
         }
         active->may_have_run = true;
-        this->on_failure(active, make_error_code(gateway_errc::unidentified_refusal), now);
+        this->on_failure(active, make_error_code(gateway_errc::unidentified_response), now);
         return;
     }
     if (server != nullptr) {
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -949,6 +949,33 @@
     }
 }
 
+// Guards against a response of another request, or a copy that a server sends late, which reaches
+// the next caller because nothing in it tells whose answer it is.
+BOOST_AUTO_TEST_CASE(response_without_an_id_is_no_answer) {
+    for (const int status : {200, 404, 500}) {
+        fixture test;
+        fake_server nameless(test.loop, [status](const std::shared_ptr<wire::incoming>& asked) {
+            wire::response message;
+            message.code = status;
+            message.reason = "Reason";
+            message.headers = {{"Own-Signature", "s"}};
+            message.body = "of somebody else";
+            asked->answer(std::move(message));
+        });
+        test.add("s1", "plain", nameless.address());
+        const auto once = test.ask("POST", "/unsafe/x");
+        BOOST_TEST(once.message.code == 502);
+        BOOST_TEST(once.message.body.empty());
+        fake_server sound(test.loop, [](const std::shared_ptr<wire::incoming>& asked) {
+            reply(asked, 200, "own", true);
+        });
+        test.add("s2", "plain", sound.address());
+        for (int count = 0; count < 4; ++count) {
+            BOOST_TEST(test.ask("GET", "/safe/x").message.body == "own");
+        }
+    }
+}
+
 // Guards against requests that wait for an owner beyond their deadline, and against losing requests
 // that wait while a range moves.
 BOOST_AUTO_TEST_CASE(request_waits_for_the_owner_of_its_key) {
