Pass no refusal on that does not prove that the request has not run

Cause (report of other operators: the caller was told that work had not run which had): a signed 408, 421, 429 or 503 of a server without its statement that the request has not run was passed on, and these statuses promise a caller that it may send the request again.

Change: such an answer counts as a failed attempt whose outcome is unknown: 502 for the caller, another attempt where the request may be repeated.

--- a/libs/gateway/include/gateway/errors.h
+++ b/libs/gateway/include/gateway/errors.h
@@ -23,6 +23,7 @@
     quarantined = 1511,
     invalid_deadline = 1512,
     unidentified_response = 1513,
+    unproved_refusal = 1514,
 };
 
 /// Returns all error codes of the gateway library with their names and messages.
--- a/libs/gateway/src/errors.cpp
+++ b/libs/gateway/src/errors.cpp
@@ -21,6 +21,8 @@
     error_entry{1511, "quarantined", "servers were lost while they ran this request"},
     error_entry{1512, "invalid_deadline", "the deadline is no positive number"},
     error_entry{1513, "unidentified_response", "the response does not name its request"},
+    error_entry{1514, "unproved_refusal",
+                "the refusal does not state that the request has not run"},
 };
 
 }  // namespace
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -23,7 +23,9 @@
 constexpr int first_failure = 300;
 constexpr int bad_request = 400;
 constexpr int not_found = 404;
+constexpr int request_timeout = 408;
 constexpr int misdirected = 421;
+constexpr int too_many_requests = 429;
 constexpr int first_server_failure = 500;
 constexpr int bad_gateway = 502;
 constexpr int unavailable = 503;
@@ -56,6 +58,12 @@
 constexpr milliseconds min_retry_after{60};
 constexpr int ms_per_second = 1'000;
 
+/// Whether a caller takes the status for a promise that its request has not run.
+bool promises_not_run(int status) {
+    return status == code::request_timeout || status == code::misdirected ||
+           status == code::too_many_requests || status == code::unavailable;
+}
+
 std::string_view reason_phrase(int status) {
     switch (status) {
         case code::bad_request:
@@ -853,6 +861,17 @@
         this->on_not_run(active, outcome.message.code, now);
         return;
     }
+    if (promises_not_run(outcome.message.code)) {
+        // Only the server's statement proves that it has not run the request.
+        if (server != nullptr) {
+            const time_point before = server->paused_until;
+            record_no_response(*server, this->settings.balancer, now);
+            this->log_pause(*server, before, now);
+        }
+        active->may_have_run = true;
+        this->on_failure(active, make_error_code(gateway_errc::unproved_refusal), now);
+        return;
+    }
     if (active->divided && !pool.owners.ranges.empty()) {
         time_point& next_probe_at = pool.next_probe_at[range_index(pool.owners, active->key)];
         if (next_probe_at != time_point{}) {
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -976,6 +976,21 @@
     }
 }
 
+// Guards against telling a caller that its request has not run, although the server did not say so:
+// the caller would send it again, and it would run twice.
+BOOST_AUTO_TEST_CASE(refusal_without_proof_is_not_passed_on) {
+    for (const int status : {408, 421, 429, 503}) {
+        fixture test;
+        fake_server server(test.loop, [status](const std::shared_ptr<wire::incoming>& asked) {
+            reply(asked, status, "", true);
+        });
+        test.add("s1", "plain", server.address());
+        BOOST_TEST(test.ask("POST", "/unsafe/x").message.code == 502);
+        BOOST_TEST(server.requests == 1);
+        BOOST_TEST(test.ask("GET", "/safe/x").message.code == 502);
+    }
+}
+
 // Guards against requests that wait for an owner beyond their deadline, and against losing requests
 // that wait while a range moves.
 BOOST_AUTO_TEST_CASE(request_waits_for_the_owner_of_its_key) {
