Do not use an owner that is leaving when it is first seen

A host that starts, or starts again, took the time of its first reading for that beginning.

Change: for a server that is draining when it is first seen, the beginning is unknown, and requests for its keys wait for the next owner.

Result: owner_found_leaving_at_the_start_gets_no_requests failed before (the server got the request) and passes.

--- a/libs/gateway/include/gateway/balancer.h
+++ b/libs/gateway/include/gateway/balancer.h
@@ -66,7 +66,7 @@
     int consecutive_failures = 0;
     time_point paused_until;
     time_point first_seen;
-    /// Earliest time at which it may have begun to drain.
+    /// Earliest time at which it may have begun to drain; the epoch if that is not known.
     time_point draining_since;
 };
 
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -385,12 +385,14 @@
     for (const auto& [id, entry] : servers.servers()) {
         service_pool& service = impl.service_of(entry.service, now);
         server_state& server = service.servers[id];
-        if (server.entry.life != entry.life) {
+        const bool known = server.entry.life == entry.life;
+        if (!known) {
             server = {};
             server.first_seen = now;
         }
         if (entry.draining && !server.entry.draining) {
-            server.draining_since = changed;
+            // A server that is draining when it is first seen may have drained for long.
+            server.draining_since = known ? changed : time_point{};
         }
         server.entry = entry;
         server.registration_lapsed = servers.awaits_reregistration(id);
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -991,6 +991,25 @@
     }
 }
 
+// Guards against a host that uses a server which has been leaving for long: a host that starts, or
+// starts again, finds it as leaving in its first reading and cannot know since when.
+BOOST_AUTO_TEST_CASE(owner_found_leaving_at_the_start_gets_no_requests) {
+    fixture test;
+    fake_server leaving(test.loop, [](const std::shared_ptr<wire::incoming>& asked) {
+        reply(asked, 200, "", true);
+    });
+    gateway::server_entry entry;
+    entry.life = {gg::server_id("s1"), 1};
+    entry.service = gg::service_id("keys");
+    entry.address = leaving.address();
+    entry.draining = true;
+    test.servers.apply({{entry.life.id, entry, {}}}, {}, wire::event_loop::now());
+    test.front->set_servers(test.servers, wire::event_loop::now(), wire::event_loop::now());
+    test.set_owner("s1");
+    BOOST_TEST(test.ask("GET", "/keys/x", "300", "7").message.code == 503);
+    BOOST_TEST(leaving.requests == 0);
+}
+
 // Guards against requests that wait for an owner beyond their deadline, and against losing requests
 // that wait while a range moves.
 BOOST_AUTO_TEST_CASE(request_waits_for_the_owner_of_its_key) {
