Ignore loads of servers that are out of range

Sums of its numbers could overflow, and a negative number of running requests made a full server appear to have room.

Change: numbers below 0 or above a million, no slots, and trailing text make the header unusable.

--- a/libs/gateway/include/gateway/balancer.h
+++ b/libs/gateway/include/gateway/balancer.h
@@ -4,6 +4,8 @@
 #include "gateway/directory.h"
 
 #include <cstdint>
+#include <optional>
+#include <string>
 
 namespace greengagechute::gateway {
 
@@ -15,6 +17,10 @@
     int slots = 0;
 };
 
+/// Parses a load, "running,waiting,slots". Returns nullopt if it is malformed, without slots or out
+/// of range.
+std::optional<reported_load> parse_load(const std::string& text);
+
 /// Service times measured at one server. The sum of logarithms gives a geometric mean, which a few
 /// long requests do not dominate.
 struct service_time_sample {
--- a/libs/gateway/src/balancer.cpp
+++ b/libs/gateway/src/balancer.cpp
@@ -1,6 +1,8 @@
 #include "gateway/balancer.h"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <cmath>
 
 namespace greengagechute::gateway {
@@ -14,6 +16,8 @@
 /// Factor by which a server is slower while it warms up.
 constexpr double cold_factor = 2.0;
 constexpr double us_per_ms = 1'000.0;
+/// Numbers of requests above this are not plausible, and their sums could overflow.
+constexpr int max_reported_load = 1'000'000;
 
 bool is_load_recent(const server_state& server, const balancer_settings& settings, time_point now) {
     return server.has_reported && now - server.reported_at < settings.max_load_age;
@@ -21,6 +25,29 @@
 
 }  // namespace
 
+std::optional<reported_load> parse_load(const std::string& text) {
+    std::array<int, 3> fields{};
+    const char* at = text.data();
+    const char* const end = text.data() + text.size();
+    for (std::size_t index = 0; index < fields.size(); ++index) {
+        const auto [next, error] = std::from_chars(at, end, fields.at(index));
+        if (error != std::errc{} || fields.at(index) < 0 || fields.at(index) > max_reported_load) {
+            return std::nullopt;
+        }
+        at = next;
+        if (index + 1 < fields.size()) {
+            if (at == end || *at != ',') {
+                return std::nullopt;
+            }
+            ++at;
+        }
+    }
+    if (at != end || fields[2] == 0) {
+        return std::nullopt;
+    }
+    return reported_load{fields[0], fields[1], fields[2]};
+}
+
 int concurrency_limit(const server_state& server, int hosts, const balancer_settings& settings,
                       time_point now) {
     const double max_outstanding = settings.max_outstanding_per_slot * server.entry.slots;
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -91,27 +91,6 @@
     return number;
 }
 
-/// Parses the load header, "running,waiting,slots". Returns nullopt if it is malformed.
-std::optional<reported_load> parse_load(const std::string& text) {
-    std::array<int, 3> fields{};
-    const char* at = text.data();
-    const char* const end = text.data() + text.size();
-    for (std::size_t index = 0; index < fields.size(); ++index) {
-        const auto [next, error] = std::from_chars(at, end, fields.at(index));
-        if (error != std::errc{}) {
-            return std::nullopt;
-        }
-        at = next;
-        if (index + 1 < fields.size()) {
-            if (at == end || *at != ',') {
-                return std::nullopt;
-            }
-            ++at;
-        }
-    }
-    return reported_load{fields[0], fields[1], fields[2]};
-}
-
 /// Fraction of the retry ratio that a host uses. The margin is needed because hosts also count
 /// first attempts that never reach a server.
 constexpr double usable_retry_share = 0.85;
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -1010,6 +1010,56 @@
     BOOST_TEST(leaving.requests == 0);
 }
 
+// Guards against an answer that breaks off at any byte, also within its head, and reaches the
+// caller as a complete success.
+BOOST_AUTO_TEST_CASE(answer_that_breaks_off_is_no_success) {
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nOwn-Id: r1\r\nOwn-Signature: s\r\nX-Long: 0123456789\r\n";
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n";
+    const std::string with_length = head + "Content-Length: 4\r\n\r\nabcd";
+    const std::string unframed = head + "\r\n";
+    for (const std::string& whole : {with_length, chunked, interim + with_length, unframed}) {
+        fixture test;
+        std::size_t kept = 0;
+        wire::listener listening(test.loop, [&](const std::shared_ptr<wire::stream>& opened) {
+            wire::stream_handlers handlers;
+            handlers.data = [&, opened](std::string_view) {
+                opened->write(whole.substr(0, kept));
+                opened->finish();
+            };
+            opened->set_handlers(std::move(handlers));
+        });
+        BOOST_REQUIRE(!listening.open({"127.0.0.1", 0}));
+        test.add("s1", "plain", {"127.0.0.1", listening.port()});
+        for (kept = 0; kept < whole.size(); ++kept) {
+            // Failures pause a server; a new instance has none.
+            test.servers.replace({}, {}, wire::event_loop::now());
+            test.front->set_servers(test.servers, wire::event_loop::now(), wire::event_loop::now());
+            test.add("s1", "plain", {"127.0.0.1", listening.port()});
+            const auto result = test.ask("POST", "/unsafe/x");
+            BOOST_TEST(result.message.code == 502, "after " << kept << " bytes of " << whole);
+        }
+        test.add("s1", "plain", {"127.0.0.1", listening.port()});
+        const auto result = test.ask("POST", "/unsafe/x");
+        BOOST_TEST(result.message.code == 200);
+        // Without a length, the caller sees the end of the body by the end of the connection.
+        const bool framed = wire::find_header(result.message.headers, "Content-Length") != nullptr;
+        BOOST_TEST(framed == (whole != unframed));
+    }
+}
+
+// Guards against loads that are out of range or followed by other text, which would overflow sums
+// or let a server appear to have room.
+BOOST_AUTO_TEST_CASE(odd_loads_are_ignored) {
+    for (const char* load : {"-1,0,3", "1,2147483647,3", "1,2,3x", "1,2", "", "1,2,3,4", "1,2,-3",
+                             "2147483647,2147483647,1", "1,2,0"}) {
+        BOOST_TEST(!gateway::parse_load(load).has_value(), load);
+    }
+    BOOST_REQUIRE(gateway::parse_load("1,2,3").has_value());
+    BOOST_TEST(gateway::parse_load("1,2,3")->waiting == 2);
+}
+
 // Guards against requests that wait for an owner beyond their deadline, and against losing requests
 // that wait while a range moves.
 BOOST_AUTO_TEST_CASE(request_waits_for_the_owner_of_its_key) {
