Survive handover tokens whose bytes cannot be encoded

Cause (report of other operators: one malformed message took a whole process down): a server's handover is passed on in the next grant as JSON. Bytes that are no UTF-8 made the encoder throw, and nothing catches it in the event loop, so the coordinator's process ended.

Reports, their answers and the term row replace odd bytes instead of throwing.

--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -67,7 +67,7 @@
     text["host"] = term.host;
     text["address"] =
         term.address ? term.address->ip + ":" + std::to_string(term.address->port) : "";
-    return text.dump();
+    return text.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 std::optional<term_content> decode_term(std::string_view text) {
--- a/libs/gateway/src/reports.cpp
+++ b/libs/gateway/src/reports.cpp
@@ -138,7 +138,7 @@
                 std::lround(sample.sum_log_ms * log_ms_scale), sample.count};
         }
     }
-    return text.dump();
+    return text.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 bool decode(std::string_view text, host_report& report) {
@@ -246,7 +246,7 @@
                                          entry.owner.start_time_ms});
         }
     }
-    return text.dump();
+    return text.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 namespace {
