Send each release on a connection of its own

A late copy of a grant's answer on a kept connection counted as the answer to the next order there. If that was a release, the keys went to another server while the first one still worked on them.

Change: a release never uses a kept connection, so that nothing but its own answer can arrive there. Cost: one connection for each range that moves. For a grant nothing follows from a copy: its lease counts from the time at which the answer arrived.

--- a/libs/wire/include/wire/client.h
+++ b/libs/wire/include/wire/client.h
@@ -32,6 +32,8 @@
     /// Kept connections that the call does not use. An answer repeated on one of them could not be
     /// told from the answer to this call.
     std::vector<connection_id> excluded;
+    /// Opens a connection for the call instead of using a kept one.
+    bool own_connection = false;
 };
 
 struct call_result {
--- a/libs/wire/src/client.cpp
+++ b/libs/wire/src/client.cpp
@@ -121,7 +121,8 @@
             this->drop(channel);
             continue;
         }
-        if (std::find(excluded.begin(), excluded.end(), channel->id) != excluded.end()) {
+        if (started->options.own_connection ||
+            std::find(excluded.begin(), excluded.end(), channel->id) != excluded.end()) {
             continue;
         }
         channels.erase(at);
