Refuse what a stopping host could only cut

Cause (reports of other operators: in a planned stop, requests that had just been accepted were cut off without an answer; requests that came late in the grace were passed on and cut at its end): a stopping host leaves requests unread 2.5 s after the signal, but it went on sending those that waited in its queue, and cut them at the end of its grace with 504, an unknown outcome for requests that may run once.

Change: from the signal on, a request is sent only if twice the average latency of its service is left until open requests are aborted, its wait included; otherwise it is refused as not run at once, so that the caller goes to another host.

--- a/libs/gateway/include/gateway/errors.h
+++ b/libs/gateway/include/gateway/errors.h
@@ -24,6 +24,7 @@
     invalid_deadline = 1512,
     unidentified_response = 1513,
     unproved_refusal = 1514,
+    shutting_down = 1515,
 };
 
 /// Returns all error codes of the gateway library with their names and messages.
--- a/libs/gateway/include/gateway/front.h
+++ b/libs/gateway/include/gateway/front.h
@@ -97,6 +97,10 @@
     /// Returns the server instances found since the last call to have ended, because another server
     /// responds at their address.
     std::vector<ranges::server_instance> take_ended_servers();
+    /// Sets when `abort_open_requests` will be called because this process ends. Requests that
+    /// could probably not be answered by then are refused from now on, so that callers can send
+    /// them to another host.
+    void set_end(time_point when, time_point now);
     /// Answers all open requests because this process ends: with 503 if the request has not run,
     /// with 504 if its outcome is unknown, or with the error response of an earlier attempt.
     /// Responses queued behind them on the same connection are then sent.
--- a/libs/gateway/src/errors.cpp
+++ b/libs/gateway/src/errors.cpp
@@ -23,6 +23,7 @@
     error_entry{1513, "unidentified_response", "the response does not name its request"},
     error_entry{1514, "unproved_refusal",
                 "the refusal does not state that the request has not run"},
+    error_entry{1515, "shutting_down", "the process ends before the request could be answered"},
 };
 
 }  // namespace
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -47,6 +47,9 @@
 /// An attempt is made only if at least this fraction of the average latency is left before the
 /// deadline.
 constexpr double min_useful_time_ratio = 0.5;
+/// While this process ends, a request is sent only if this multiple of the average latency is left.
+/// Most requests take less.
+constexpr double min_shutdown_time_ratio = 2.0;
 /// Maximum number of queued requests examined in one pass.
 constexpr int max_dispatched_per_pass = 256;
 /// How long a draining owner still receives requests. A draining server serves for at least 2 s.
@@ -227,6 +230,8 @@
     std::map<service_id, std::map<server_id, service_time_sample>> service_times;
     std::vector<ranges::server_instance> ended_servers;
     int hosts = 1;
+    /// Time at which open requests will be aborted; empty unless this process ends.
+    std::optional<time_point> ends_at;
     std::unordered_set<request_handle> open;
     telemetry::counter accepted_count;
     telemetry::counter answered_count;
@@ -268,6 +273,9 @@
     server_choice choose_server(const active_request& active, service_pool& pool, time_point now);
     server_choice choose_owner(const active_request& active, service_pool& pool, time_point now);
     bool try_send(const request_handle& active, service_pool& pool, time_point now);
+    bool is_cut_by_shutdown(const active_request& active, const service_pool& pool, double wait_ms,
+                            time_point now) const;
+    void refuse_unfinishable(service_pool& pool, time_point now);
     bool would_miss_deadline(const active_request& active, const service_pool& pool,
                              time_point now) const;
     static bool is_long_unowned(const active_request& active, const service_pool& pool,
@@ -312,6 +320,7 @@
                                {},
                                {},
                                1,
+                               std::nullopt,
                                {},
                                {},
                                {},
@@ -414,6 +423,13 @@
     return std::exchange(this->implementation->ended_servers, {});
 }
 
+void front::set_end(time_point when, time_point now) {
+    this->implementation->ends_at = when;
+    for (auto& [id, pool] : this->implementation->services) {
+        this->implementation->refuse_unfinishable(pool, now);
+    }
+}
+
 void front::abort_open_requests(time_point now) {
     const std::vector<request_handle> unanswered(this->implementation->open.begin(),
                                                  this->implementation->open.end());
@@ -529,6 +545,10 @@
     }
     const time_point now = wire::event_loop::now();
     service_pool& pool = this->service_of(active->service, now);
+    if (this->is_cut_by_shutdown(*active, pool, 0, now)) {
+        this->refuse(active, gateway_errc::shutting_down, now);
+        return;
+    }
     if (this->try_send(active, pool, now)) {
         return;
     }
@@ -540,6 +560,10 @@
         this->refuse(active, gateway_errc::overloaded, now);
         return;
     }
+    if (this->is_cut_by_shutdown(*active, pool, this->estimated_wait_ms(*active, pool, now), now)) {
+        this->refuse(active, gateway_errc::shutting_down, now);
+        return;
+    }
     this->enqueue(active, pool);
 }
 
@@ -695,6 +719,34 @@
            left;
 }
 
+/// Whether this process would probably end before the request is answered.
+/// @param wait_ms  time until the request can be sent
+bool front::state::is_cut_by_shutdown(const active_request& active, const service_pool& pool,
+                                      double wait_ms, time_point now) const {
+    if (!this->ends_at || *this->ends_at >= active.answer_by) {
+        return false;
+    }
+    const double left = std::chrono::duration<double, std::milli>(*this->ends_at - now).count();
+    const double latency =
+        pool.latency_ms > 0 ? pool.latency_ms : this->settings.balancer.initial_latency_ms;
+    return wait_ms + latency * min_shutdown_time_ratio > left;
+}
+
+/// Refuses the queued requests that this process could probably not answer before it ends.
+void front::state::refuse_unfinishable(service_pool& pool, time_point now) {
+    std::vector<request_handle> refused;
+    for (const request_handle& active : pool.waiting) {
+        if (this->is_cut_by_shutdown(*active, pool, this->estimated_wait_ms(*active, pool, now),
+                                     now)) {
+            refused.push_back(active);
+        }
+    }
+    for (const request_handle& active : refused) {
+        pool.waiting.remove(active);
+        this->refuse(active, gateway_errc::shutting_down, now);
+    }
+}
+
 void front::state::send(const request_handle& active, server_state& server, time_point now) {
     const double network_ms = this->distance_to(server.entry) == distance::other_region
                                   ? 2 * this->settings.balancer.cross_region_latency_ms
@@ -978,8 +1030,10 @@
 
 /// Whether an attempt started now may still be answered before the deadline.
 bool front::state::has_useful_time(const active_request& active, time_point now) {
+    const service_pool& pool = this->service_of(active.service, now);
     const double left = std::chrono::duration<double, std::milli>(active.answer_by - now).count();
-    return left > this->service_of(active.service, now).latency_ms * min_useful_time_ratio;
+    return left > pool.latency_ms * min_useful_time_ratio &&
+           !this->is_cut_by_shutdown(active, pool, 0, now);
 }
 
 /// Whether another attempt is allowed; takes it from the retry budget if so.
@@ -1058,6 +1112,11 @@
             next = pool.waiting.erase(next);
             continue;
         }
+        if (this->is_cut_by_shutdown(*active, pool, 0, now)) {
+            next = pool.waiting.erase(next);
+            this->refuse(active, gateway_errc::shutting_down, now);
+            continue;
+        }
         const server_choice found = this->choose_server(*active, pool, now);
         if (found.server != nullptr) {
             next = pool.waiting.erase(next);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -404,6 +404,12 @@
         }
     }
 
+    /// Time from the request to shut down until open requests are aborted.
+    milliseconds time_to_abort() const {
+        return this->settings.shutdown_grace -
+               std::min(abort_margin, this->settings.shutdown_grace / 4);
+    }
+
     void continue_drain() {
         const milliseconds since =
             std::chrono::duration_cast<milliseconds>(wire::event_loop::now() - this->drain_began);
@@ -416,9 +422,7 @@
             this->stopped_reading = true;
             this->front_server.stop_reading();
         }
-        if (since > this->settings.shutdown_grace -
-                        std::min(abort_margin, this->settings.shutdown_grace / 4) &&
-            !this->open_requests_aborted) {
+        if (since > this->time_to_abort() && !this->open_requests_aborted) {
             this->open_requests_aborted = true;
             this->frontend.abort_open_requests(wire::event_loop::now());
         }
@@ -473,6 +477,7 @@
     impl.draining = true;
     impl.drain_began = wire::event_loop::now();
     telemetry::log_info(impl.log, "stopping", {{"open_requests", impl.frontend.open_requests()}});
+    impl.frontend.set_end(impl.drain_began + impl.time_to_abort(), impl.drain_began);
     impl.ownership.resign();
     impl.front_server.start_closing();
     impl.continue_drain();
--- a/libs/gateway/tests/host_test.cpp
+++ b/libs/gateway/tests/host_test.cpp
@@ -12,8 +12,10 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -56,7 +58,7 @@
         made.prefix = prefix;
         made.kind = gateway::request_kind::unsafe;
         made.max_attempts = 2;
-        made.timeout = 2s;
+        made.timeout = 9s;
         made.services.push_back({gg::service_id(service), 1});
         content.routes.push_back(made);
     };
@@ -97,6 +99,11 @@
     /// What the coordinator answers to reports.
     gateway::report_answer answer;
     std::unique_ptr<wire::server> coordinator;
+    std::unique_ptr<wire::server> plain;
+    /// Requests that reached the server of the undivided service.
+    std::set<std::string> run_requests;
+    /// Statuses of the answers to `post`, by request id.
+    std::map<std::string, int> statuses;
 
     host_fixture() {
         gg::telemetry::logger_options options;
@@ -152,6 +159,38 @@
         BOOST_REQUIRE(!this->host->start());
     }
 
+    /// Starts a server of the undivided service that answers after `work`, and counts what it runs.
+    void add_plain_server(gg::milliseconds work) {
+        this->plain = std::make_unique<wire::server>(
+            this->loop, [this, work](const std::shared_ptr<wire::incoming>& asked) {
+                const std::string* const id = wire::find_header(asked->message().headers, "Own-Id");
+                BOOST_REQUIRE(id != nullptr);
+                this->run_requests.insert(*id);
+                wire::response reply;
+                reply.code = 200;
+                reply.headers = {{"Own-Id", *id}, {"Own-Signature", "s"}};
+                this->loop.call_after(work, [asked, reply] { asked->answer(reply); });
+            });
+        BOOST_REQUIRE(!this->plain->open({"127.0.0.1", 0}));
+        this->store.put(server_table, "p",
+                        "plain " + std::to_string(this->plain->port()) + " ready");
+    }
+
+    /// Sends a request that may run once, and records the status of its answer: 0 if the connection
+    /// ended without one.
+    void post(wire::client& caller, const std::string& id) {
+        wire::request message;
+        message.method = "POST";
+        message.target = "/plain/x";
+        message.headers = {{"Host", "h"}, {"Own-Id", id}, {"Own-Deadline", "9000"}};
+        wire::call_options options;
+        options.timeout = 9s;
+        caller.send(this->settings.front, message, options,
+                    [this, id](const wire::call_result& outcome) {
+                        this->statuses[id] = outcome.error ? 0 : outcome.message.code;
+                    });
+    }
+
     /// The store forgets the calls that wait for changes, without a word to the caller.
     void drop_pending_watches() {
         this->store.drops_watches = true;
@@ -264,3 +303,64 @@
     test.run_for(1'500ms);
     BOOST_TEST(test.orders.grants[gg::server_id("b")] > 0);
 }
+
+// Guards against requests that a stopping host has taken and sends on so late that it cuts them at
+// the end of its grace period, with an unknown outcome for requests that may run once. What cannot
+// be answered in time has to be refused as not run, so that the caller can go to another host.
+BOOST_AUTO_TEST_CASE(stopping_host_starts_no_request_that_it_would_cut) {
+    host_fixture test;
+    test.settings.shutdown_grace = 4s;
+    test.add_plain_server(1s);
+    test.start_host();
+    test.run_for(300ms);
+    wire::client callers(test.loop, {});
+    // The host has measured how long the server takes.
+    test.post(callers, "first");
+    test.run_for(1'200ms);
+    BOOST_REQUIRE(test.statuses["first"] == 200);
+    // More than the server gets at once: some wait in the host.
+    constexpr int requests = 60;
+    for (int count = 0; count < requests; ++count) {
+        test.post(callers, "r" + std::to_string(count));
+    }
+    test.run_for(200ms);
+    test.host->drain();
+    test.run_for(5s);
+    BOOST_TEST(test.statuses.size() == requests + 1U);
+    int answered = 0;
+    for (const auto& [id, status] : test.statuses) {
+        BOOST_TEST((status == 200 || status == 503), id << " got " << status);
+        BOOST_TEST((status == 503) == !test.run_requests.contains(id), id << " got " << status);
+        answered += status == 200 ? 1 : 0;
+    }
+    BOOST_TEST(answered > 10);
+}
+
+// Guards against a host that takes requests late in its grace period: on connections that callers
+// keep open, and on new ones.
+BOOST_AUTO_TEST_CASE(stopping_host_leaves_late_requests_unread) {
+    host_fixture test;
+    test.settings.shutdown_grace = 6s;
+    test.add_plain_server(1s);
+    test.start_host();
+    test.run_for(300ms);
+    wire::client caller(test.loop, {});
+    test.post(caller, "early");
+    test.run_for(1'200ms);
+    BOOST_REQUIRE(test.statuses["early"] == 200);
+    test.host->drain();
+    test.run_for(2'400ms);
+    // Keeps the host busy until 3.4 s after the beginning of its stop.
+    wire::client other(test.loop, {});
+    test.post(other, "in time");
+    test.run_for(400ms);
+    wire::client late(test.loop, {});
+    test.post(caller, "late on a kept connection");
+    test.post(late, "late on a new connection");
+    test.run_for(2s);
+    BOOST_TEST(test.statuses["in time"] == 200);
+    BOOST_TEST(test.statuses["late on a kept connection"] == 0);
+    BOOST_TEST(test.statuses["late on a new connection"] == 0);
+    BOOST_TEST(!test.run_requests.contains("late on a kept connection"));
+    BOOST_TEST(!test.run_requests.contains("late on a new connection"));
+}
