--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -7,6 +7,7 @@
 #include "gateway/errors.h"
 #include "gateway/front.h"
 #include "gateway/table_watch.h"
+#include "mutation.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -764,6 +765,52 @@
     BOOST_TEST(relayed("700").changes[0].entry->slots == 700);
 }
 
+// Guards against odd bytes in a report of another host, or in its answer, that end the process or
+// that cannot be passed on.
+BOOST_AUTO_TEST_CASE(mutated_reports_are_read_or_refused) {
+    gateway::host_report report;
+    report.host = gg::host_id("h");
+    report.term = 3;
+    report.servers = {1, 9};
+    report.keys[gg::service_id("s")] = {1, 65'535};
+    report.speeds[gg::service_id("s")][gg::server_id("a")] = {4.5, 3};
+    report.ended.push_back({gg::server_id("a"), 7});
+    report.owners[gg::service_id("s")] = 2;
+    gateway::report_answer answer;
+    answer.coordinating = true;
+    answer.term = 3;
+    answer.store_outage_age = 100ms;
+    answer.catalogue = {1, 5};
+    answer.owners[gg::service_id("s")] = {2, true, {{{0, 65'535}, {gg::server_id("a"), 7}}}};
+    gateway::server_entry entry;
+    entry.life = {gg::server_id("a"), 7};
+    entry.service = gg::service_id("s");
+    answer.servers = gateway::directory_update{
+        {1, 9},
+        40ms,
+        700ms,
+        {{gg::server_id("a"), entry, {1, 8}}, {gg::server_id("b"), {}, {1, 9}}}};
+    constexpr int mutations = 10'000;
+    std::mt19937_64 random(20'261'208);
+    int read = 0;
+    for (int count = 0; count < mutations; ++count) {
+        const std::string report_text = gg::testing::mutated(encode(report), random);
+        gateway::host_report read_report;
+        if (decode(report_text, read_report)) {
+            ++read;
+            BOOST_REQUIRE_MESSAGE(decode(encode(read_report), read_report), report_text);
+        }
+        const std::string answer_text = gg::testing::mutated(encode(answer), random);
+        gateway::report_answer read_answer;
+        if (decode(answer_text, read_answer)) {
+            ++read;
+            BOOST_REQUIRE_MESSAGE(decode(encode(read_answer), read_answer), answer_text);
+        }
+    }
+    BOOST_TEST(read > mutations / 100);
+    BOOST_TEST(read < 2 * mutations);
+}
+
 // Guards against a request that is altered on the way: path, the caller's headers and id reach the
 // server unchanged, with the remaining time and the id of the expected server.
 BOOST_AUTO_TEST_CASE(request_is_forwarded_exactly) {
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE wire
+#include "mutation.h"
 #include "wire/client.h"
 #include "wire/loop.h"
 #include "wire/message.h"
@@ -17,6 +18,7 @@
 #include <csignal>
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 #include <thread>
 #include <utility>
@@ -683,6 +685,48 @@
     BOOST_TEST(client.opened() == 2U);
 }
 
+// Guards against odd bytes of a caller or a server that end the process or stop a parser.
+BOOST_AUTO_TEST_CASE(mutated_messages_are_read_or_refused) {
+    const std::string asked =
+        "POST /a%2Fb?q HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n0\r\n\r\n";
+    const std::string answered =
+        "HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\n"
+        "Content-Length: 4\r\n\r\nabcd";
+    constexpr int mutations = 10'000;
+    std::mt19937_64 random(20'261'209);
+    int read = 0;
+    for (int count = 0; count < mutations; ++count) {
+        const std::size_t step = 1 + random() % 64;
+        wire::request_parser requests;
+        wire::request request;
+        const std::string odd_request = gg::testing::mutated(asked, random);
+        if (parse(requests, odd_request, step, request)) {
+            ++read;
+            // What was read can be sent on, and reads the same.
+            wire::remove_connection_headers(request.headers);
+            wire::request_parser again;
+            wire::request same;
+            BOOST_REQUIRE_MESSAGE(parse(again, serialize(request), step, same), odd_request);
+            BOOST_TEST(same.target == request.target);
+            BOOST_TEST(same.body == request.body);
+        }
+        wire::response_parser responses;
+        std::string odd_response = gg::testing::mutated(answered, random);
+        std::string_view rest = odd_response;
+        while (!rest.empty() && !responses.error()) {
+            std::size_t used = 0;
+            if (responses.feed(rest.substr(0, step), used)) {
+                ++read;
+                BOOST_TEST(serialize(responses.take(), false, false).size() > 0U);
+            }
+            rest.remove_prefix(std::min(used, rest.size()));
+        }
+        static_cast<void>(responses.feed_end());
+    }
+    BOOST_TEST(read > mutations / 10);
+}
+
 // Guards against a failed call being reported as sent, or a sent one as not sent.
 BOOST_AUTO_TEST_CASE(failures_tell_whether_the_request_left) {
     wire::event_loop loop;
