--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE gateway
 #include "fakes.h"
+#include "front_fixture.h"
 #include "gateway/balancer.h"
 #include "gateway/catalogue.h"
 #include "gateway/coordinator.h"
@@ -31,49 +32,8 @@
 
 namespace {
 
-constexpr gg::milliseconds test_limit{8'000};
 constexpr gg::time_point start{1h};
 
-/// Server that answers with a given handler and counts its requests.
-class fake_server {
-public:
-    using handler = std::function<void(const std::shared_ptr<wire::incoming>&)>;
-
-    fake_server(wire::event_loop& loop, handler act)
-        : server(loop, [this, act = std::move(act)](const std::shared_ptr<wire::incoming>& asked) {
-              ++this->requests;
-              this->last = asked->message();
-              act(asked);
-          }) {
-        BOOST_REQUIRE(!this->server.open({"127.0.0.1", 0}));
-    }
-
-    wire::endpoint address() const { return {"127.0.0.1", this->server.port()}; }
-
-    int requests = 0;
-    wire::request last;
-
-private:
-    wire::server server;
-};
-
-void reply(const std::shared_ptr<wire::incoming>& asked, int code, const std::string& body,
-           bool is_signed, bool not_run = false) {
-    wire::response message;
-    message.code = code;
-    message.reason = "Reason";
-    message.body = body;
-    const std::string* id = wire::find_header(asked->message().headers, "Own-Id");
-    message.headers.push_back({"Own-Id", id != nullptr ? *id : ""});
-    if (is_signed) {
-        message.headers.push_back({"Own-Signature", "s"});
-    }
-    if (not_run) {
-        message.headers.push_back({"Own-Not-Run", "1"});
-    }
-    asked->answer(std::move(message));
-}
-
 /// Writes raw bytes to a connection and collects the bytes received.
 class raw_connection {
 public:
@@ -158,95 +118,6 @@
     return serialize(message, false, false);
 }
 
-/// A front with an undivided service `plain` and a divided service `keys`.
-struct fixture {
-    wire::event_loop loop;
-    wire::client upstreams{loop, {}};
-    std::shared_ptr<gg::telemetry::logger> log;
-    gg::telemetry::metrics numbers;
-    std::unique_ptr<gateway::front> front;
-    std::unique_ptr<wire::server> entry;
-    gateway::directory servers{gateway::directory_settings{}};
-
-    fixture() {
-        gg::telemetry::logger_options options;
-        options.minimum = gg::telemetry::level::error;
-        this->log = *gg::telemetry::logger::create(options);
-        gateway::front_settings settings;
-        settings.data_centre = gg::data_centre_id("dc");
-        this->front =
-            std::make_unique<gateway::front>(this->loop, this->upstreams, *this->log, this->numbers,
-                                             make_header_names(), settings, 1);
-        this->entry = std::make_unique<wire::server>(
-            this->loop,
-            [this](const std::shared_ptr<wire::incoming>& asked) { this->front->accept(asked); });
-        BOOST_REQUIRE(!this->entry->open({"127.0.0.1", 0}));
-        auto content = std::make_shared<gateway::catalogue>();
-        content->version = 1;
-        content->services[gg::service_id("plain")] = {gg::service_id("plain"), false, 10};
-        content->services[gg::service_id("keys")] = {gg::service_id("keys"), true, 10};
-        const auto add = [&content](const std::string& prefix, gateway::request_kind kind,
-                                    const std::string& service, int attempts) {
-            gateway::route made;
-            made.name = prefix;
-            made.host = "h";
-            made.prefix = prefix;
-            made.kind = kind;
-            made.max_attempts = attempts;
-            made.timeout = 2s;
-            made.services.push_back({gg::service_id(service), 1});
-            content->routes.push_back(made);
-        };
-        add("/safe/", gateway::request_kind::safe, "plain", 2);
-        add("/unsafe/", gateway::request_kind::unsafe, "plain", 2);
-        add("/keys/", gateway::request_kind::safe, "keys", 2);
-        add("/unsafe-keys/", gateway::request_kind::unsafe, "keys", 2);
-        index_routes(*content);
-        this->front->set_catalogue(content);
-    }
-
-    void add(const std::string& id, const std::string& service, const wire::endpoint& address) {
-        gateway::server_entry entry_of_server;
-        entry_of_server.life = {gg::server_id(id), 1};
-        entry_of_server.service = gg::service_id(service);
-        entry_of_server.address = address;
-        entry_of_server.data_centre = gg::data_centre_id("dc");
-        entry_of_server.slots = 2;
-        this->servers.apply({{gg::server_id(id), entry_of_server, {}}}, {},
-                            wire::event_loop::now());
-        this->front->set_servers(this->servers, wire::event_loop::now(), wire::event_loop::now());
-    }
-
-    void set_owner(const std::string& id) {
-        this->front->set_owners(gg::service_id("keys"),
-                                ranges::range_table{{{{}, {gg::server_id(id), 1}}}});
-    }
-
-    wire::call_result ask(const std::string& method, const std::string& target,
-                          const std::string& deadline = "1000", const std::string& key = "") {
-        wire::client caller(this->loop, {});
-        wire::request message;
-        message.method = method;
-        message.target = target;
-        message.headers = {{"Host", "h"}, {"Own-Id", "r1"}, {"Own-Deadline", deadline}};
-        if (!key.empty()) {
-            message.headers.push_back({"Own-Key", key});
-        }
-        wire::call_options options;
-        options.timeout = test_limit;
-        wire::call_result result;
-        caller.send({"127.0.0.1", this->entry->port()}, message, options,
-                    [this, &result](wire::call_result outcome) {
-                        result = std::move(outcome);
-                        this->loop.stop();
-                    });
-        const auto limit = this->loop.call_after(test_limit, [this] { this->loop.stop(); });
-        this->loop.run();
-        this->loop.cancel(limit);
-        return result;
-    }
-};
-
 struct region_simulation_result {
     int sent = 0;
     int crossed = 0;
@@ -814,7 +685,7 @@
 // Guards against a request that is altered on the way: path, the caller's headers and id reach the
 // server unchanged, with the remaining time and the id of the expected server.
 BOOST_AUTO_TEST_CASE(request_is_forwarded_exactly) {
-    fixture test;
+    front_fixture test;
     fake_server server(test.loop, [](const auto& asked) { reply(asked, 200, "body", true); });
     test.add("s1", "plain", server.address());
     const auto answer = test.ask("GET", "/safe/a%2Fb/..//c?q=%2f");
@@ -832,7 +703,7 @@
 // Guards against running an unsafe request twice after its response was lost, and against reporting
 // it as not run.
 BOOST_AUTO_TEST_CASE(unsafe_request_is_not_repeated_after_a_lost_answer) {
-    fixture test;
+    front_fixture test;
     int runs = 0;
     wire::listener closing_server(test.loop, [&runs](const std::shared_ptr<wire::stream>& opened) {
         wire::stream_handlers handlers;
@@ -850,7 +721,7 @@
 
 // Guards against a safe request that fails although another server could run it.
 BOOST_AUTO_TEST_CASE(safe_request_is_repeated_at_another_server) {
-    fixture test;
+    front_fixture test;
     fake_server bad(test.loop, [](const auto& asked) { reply(asked, 500, "bad", true); });
     fake_server good(test.loop, [](const auto& asked) { reply(asked, 200, "good", true); });
     test.add("bad", "plain", bad.address());
@@ -866,7 +737,7 @@
 
 // Guards against forwarding a response without the server's signature as a success.
 BOOST_AUTO_TEST_CASE(unsigned_success_is_a_failure) {
-    fixture test;
+    front_fixture test;
     fake_server server(test.loop, [](const auto& asked) { reply(asked, 200, "x", false); });
     test.add("s1", "plain", server.address());
     BOOST_TEST(test.ask("POST", "/unsafe/x").message.code == 502);
@@ -875,14 +746,14 @@
 // Guards against wrongly reporting a request as not run: once it was sent, only the server's
 // not-run header allows that.
 BOOST_AUTO_TEST_CASE(refusal_of_a_server_is_passed_on_as_not_run) {
-    fixture test;
+    front_fixture test;
     fake_server full(test.loop, [](const auto& asked) { reply(asked, 503, "", false, true); });
     test.add("s1", "plain", full.address());
     const auto refused = test.ask("POST", "/unsafe/x");
     BOOST_TEST(refused.message.code == 503);
     BOOST_TEST((wire::find_header(refused.message.headers, "Retry-After") != nullptr));
 
-    fixture test_without_not_run;
+    front_fixture test_without_not_run;
     fake_server busy(test_without_not_run.loop,
                      [](const auto& asked) { reply(asked, 503, "", false); });
     test_without_not_run.add("s1", "plain", busy.address());
@@ -896,7 +767,7 @@
     constexpr int answered_before = 40;
     for (const std::string target : {"/safe/x", "/unsafe/x", "/keys/x", "/unsafe-keys/x"}) {
         for (const int code : {421, 429, 503}) {
-            fixture test;
+            front_fixture test;
             std::map<std::size_t, std::string> refused;
             int asked_before = 0;
             int runs = 0;
@@ -932,7 +803,7 @@
 // Guards against a refusal that a server writes again on a connection that has carried another
 // request since.
 BOOST_AUTO_TEST_CASE(refusal_repeated_after_another_request_is_not_an_answer) {
-    fixture test;
+    front_fixture test;
     std::string refused;
     std::size_t refusing_connection = 0;
     std::size_t other_connection = 0;
@@ -978,7 +849,7 @@
 BOOST_AUTO_TEST_CASE(refusal_without_an_id_proves_nothing) {
     for (const std::string target : {"/unsafe/x", "/unsafe-keys/x"}) {
         for (const int code : {408, 421, 429, 503}) {
-            fixture test;
+            front_fixture test;
             int arrivals = 0;
             scripted_server server(test.loop, [&](const wire::request& asked, std::size_t) {
                 ++arrivals;
@@ -1000,7 +871,7 @@
 // the next caller because nothing in it tells whose answer it is.
 BOOST_AUTO_TEST_CASE(response_without_an_id_is_no_answer) {
     for (const int status : {200, 404, 500}) {
-        fixture test;
+        front_fixture test;
         fake_server nameless(test.loop, [status](const std::shared_ptr<wire::incoming>& asked) {
             wire::response message;
             message.code = status;
@@ -1027,7 +898,7 @@
 // the caller would send it again, and it would run twice.
 BOOST_AUTO_TEST_CASE(refusal_without_proof_is_not_passed_on) {
     for (const int status : {408, 421, 429, 503}) {
-        fixture test;
+        front_fixture test;
         fake_server server(test.loop, [status](const std::shared_ptr<wire::incoming>& asked) {
             reply(asked, status, "", true);
         });
@@ -1041,7 +912,7 @@
 // Guards against a host that uses a server which has been leaving for long: a host that starts, or
 // starts again, finds it as leaving in its first reading and cannot know since when.
 BOOST_AUTO_TEST_CASE(owner_found_leaving_at_the_start_gets_no_requests) {
-    fixture test;
+    front_fixture test;
     fake_server leaving(test.loop, [](const std::shared_ptr<wire::incoming>& asked) {
         reply(asked, 200, "", true);
     });
@@ -1067,7 +938,7 @@
     const std::string with_length = head + "Content-Length: 4\r\n\r\nabcd";
     const std::string unframed = head + "\r\n";
     for (const std::string& whole : {with_length, chunked, interim + with_length, unframed}) {
-        fixture test;
+        front_fixture test;
         std::size_t kept = 0;
         wire::listener listening(test.loop, [&](const std::shared_ptr<wire::stream>& opened) {
             wire::stream_handlers handlers;
@@ -1110,7 +981,7 @@
 // Guards against requests that wait for an owner beyond their deadline, and against losing requests
 // that wait while a range moves.
 BOOST_AUTO_TEST_CASE(request_waits_for_the_owner_of_its_key) {
-    fixture test;
+    front_fixture test;
     fake_server server(test.loop, [](const auto& asked) { reply(asked, 200, "k", true); });
     test.add("s1", "keys", server.address());
     BOOST_TEST(test.ask("GET", "/keys/x", "300", "5").message.code == 503);
@@ -1124,7 +995,7 @@
 // Guards against sending each request for a moving range to the old owner, which has released the
 // range and refuses them.
 BOOST_AUTO_TEST_CASE(requests_of_a_moving_range_wait_together) {
-    fixture test;
+    front_fixture test;
     fake_server old_owner(test.loop, [](const auto& asked) { reply(asked, 421, "", false, true); });
     fake_server new_owner(test.loop, [](const auto& asked) { reply(asked, 200, "k", true); });
     test.add("s1", "keys", old_owner.address());
@@ -1156,7 +1027,7 @@
 // Guards against sending requests repeatedly to an address that is now used by a server of another
 // service.
 BOOST_AUTO_TEST_CASE(replaced_server_gets_no_more_requests) {
-    fixture test;
+    front_fixture test;
     fake_server other(test.loop, [](const auto& asked) {
         wire::response message;
         message.code = 421;
@@ -1178,7 +1049,7 @@
 // Guards against exceeding the platform's retry budget while an owner refuses requests for a long
 // time because it has lost its keys.
 BOOST_AUTO_TEST_CASE(refusals_by_an_owner_do_not_multiply_requests) {
-    fixture test;
+    front_fixture test;
     fake_server empty(test.loop, [](const auto& asked) { reply(asked, 421, "", false, true); });
     test.add("s1", "keys", empty.address());
     test.set_owner("s1");
@@ -1203,7 +1074,7 @@
 // Guards against refusing callers although the retry budget would allow another attempt, and
 // against exceeding the budget. The owner sheds every second request.
 BOOST_AUTO_TEST_CASE(requests_shed_by_an_owner_are_retried) {
-    fixture test;
+    front_fixture test;
     int arrivals = 0;
     fake_server shedding(test.loop, [&arrivals](const auto& asked) {
         const bool shed = ++arrivals % 2 == 0;
@@ -1238,7 +1109,7 @@
 // Guards against holding callers until their deadline although no server can serve them, which
 // happens if a key's owner ends while the store is unavailable.
 BOOST_AUTO_TEST_CASE(keys_long_without_an_owner_are_refused_at_once) {
-    fixture test;
+    front_fixture test;
     test.set_owner("");
     gg::time_point asked = wire::event_loop::now();
     BOOST_TEST(test.ask("GET", "/keys/x", "1000", "5").message.code == 503);
@@ -1256,7 +1127,7 @@
 
 // Guards against a response after the deadline, or none at all, if the server does not respond.
 BOOST_AUTO_TEST_CASE(request_to_unresponsive_server_fails_at_the_deadline) {
-    fixture test;
+    front_fixture test;
     std::vector<std::shared_ptr<wire::incoming>> kept;
     fake_server silent(test.loop, [&kept](const auto& asked) { kept.push_back(asked); });
     test.add("s1", "plain", silent.address());
@@ -1268,7 +1139,7 @@
 // Guards against losing a finished response at the end of the process because it is queued behind
 // an unanswered request on the same connection.
 BOOST_AUTO_TEST_CASE(ready_answers_leave_before_the_process_ends) {
-    fixture test;
+    front_fixture test;
     std::vector<std::shared_ptr<wire::incoming>> kept;
     fake_server silent(test.loop, [&kept](const auto& asked) { kept.push_back(asked); });
     fake_server server(test.loop, [](const auto& asked) { reply(asked, 200, "ready", true); });
@@ -1296,7 +1167,7 @@
 // Guards against sending requests to a draining owner after it has stopped serving, because the
 // host learned late that it drains.
 BOOST_AUTO_TEST_CASE(late_notice_does_not_extend_the_use_of_a_draining_owner) {
-    fixture test;
+    front_fixture test;
     fake_server server(test.loop, [](const auto& asked) { reply(asked, 200, "k", true); });
     test.add("s1", "keys", server.address());
     test.set_owner("s1");
