Let the soak's servers state that they leave and ask for pauses

Servers name their life in each answer and say in it that they are leaving, up to 1.5 s before their entry does; a fault makes one turn requests away with a time to return, or with a text that is none. Judged by what callers and servers see: no request that a caller sent to a gateway later than 2 s after that gateway passed on such an answer reaches the server from there, and at most two reach it within a pause.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -215,6 +215,7 @@
                            {"Shard-Key", std::to_string(this->random() % keys)}};
         wire::call_options call;
         call.timeout = 2 * caller_deadline;
+        this->seen.statements().asked(id, target->name(), wire::event_loop::now());
         this->callers.send(target->front(), message, call,
                            [this, id, target, sent = wire::event_loop::now(),
                             judged = this->judging](const wire::call_result& outcome) {
@@ -234,6 +235,11 @@
             }
             return;
         }
+        const std::string* const server = wire::find_header(outcome.message.headers, "Served-By");
+        if (server != nullptr &&
+            wire::find_header(outcome.message.headers, "Server-Leaving") != nullptr) {
+            this->seen.statements().passed_on_leaving(id, *server, wire::event_loop::now());
+        }
         const int code = outcome.message.code;
         if (code == 200) {
             const std::string* signature =
@@ -257,7 +263,7 @@
             this->draw(static_cast<int>(this->gateways.size())))];
         keyed_server& server = *this->servers[static_cast<std::size_t>(
             this->draw(static_cast<int>(this->servers.size())))];
-        switch (this->draw(this->options.basic != 0 ? 14 : 19)) {
+        switch (this->draw(this->options.basic != 0 ? 14 : 20)) {
             case 0:
                 this->restart_killed(host);
                 break;
@@ -277,6 +283,7 @@
                 this->disturb(host.store_path(), "store path of " + host.name());
                 break;
             case 5:
+                server.stop_judging_pauses();
                 this->disturb(server.path(), "path of " + server.name());
                 break;
             case 6:
@@ -322,6 +329,9 @@
             case 16:
                 this->write_odd_row();
                 break;
+            case 17:
+                this->spoil(server, server_defect::asks_pauses);
+                break;
             default:
                 this->restore_store();
                 break;
@@ -332,6 +342,7 @@
         if (host.serving()) {
             this->note("SIGKILL " + host.name());
             host.kill();
+            this->seen.statements().excuse_gateway(host.name());
             this->seen.disturbed(wire::event_loop::now());
             this->loop.call_after(milliseconds(100 + this->draw(1'500)), [&host] { host.start(); });
         }
@@ -341,6 +352,7 @@
         if (host.serving()) {
             this->note("SIGTERM " + host.name());
             host.terminate();
+            this->seen.statements().excuse_gateway(host.name());
             this->restart_when_gone(host);
         }
     }
@@ -348,6 +360,7 @@
     void restart_when_gone(gateway_host& host) {
         this->loop.call_after(milliseconds(50), [this, &host] {
             if (host.gone()) {
+                this->seen.statements().excuse_gateway(host.name());
                 host.start();
             } else {
                 this->restart_when_gone(host);
@@ -362,10 +375,12 @@
         const milliseconds time(200 + this->draw(4'000));
         this->note("SIGSTOP " + host.name() + " for " + std::to_string(time.count()) + " ms");
         host.pause(true);
+        this->seen.statements().excuse_gateway(host.name());
         this->seen.disturbed(wire::event_loop::now());
         this->loop.call_after(time, [this, &host] {
             if (host.paused()) {
                 host.pause(false);
+                this->seen.statements().excuse_gateway(host.name());
                 this->seen.forgive(wire::event_loop::now());
                 this->seen.disturbed(wire::event_loop::now());
             }
@@ -439,7 +454,8 @@
     void spoil(keyed_server& server, server_defect defect) {
         this->note(server.name() + (defect == server_defect::endless_answers
                                         ? " begins answers without end"
-                                        : " repeats refusals"));
+                                    : defect == server_defect::asks_pauses ? " asks for pauses"
+                                                                           : " repeats refusals"));
         server.set_defect(defect);
         this->loop.call_after(milliseconds(500 + this->draw(4'000)),
                               [&server] { server.set_defect(server_defect::none); });
@@ -492,13 +508,19 @@
             return;
         }
         this->note("drain of " + server.name());
-        server.set_draining();
-        this->loop.call_after(milliseconds(300 + this->draw(2'000)), [&server] {
+        server.say_leaving();
+        const milliseconds notice(this->draw(2) == 0 ? 0 : 300 + this->draw(1'200));
+        this->loop.call_after(notice, [&server] {
+            if (server.up()) {
+                server.set_draining();
+            }
+        });
+        this->loop.call_after(notice + milliseconds(300 + this->draw(2'000)), [&server] {
             if (server.up()) {
                 server.leave();
             }
         });
-        this->loop.call_after(milliseconds(3'500), [&server] {
+        this->loop.call_after(notice + milliseconds(3'500), [&server] {
             if (server.up()) {
                 server.crash();
             }
--- a/tests/soak/servers.cpp
+++ b/tests/soak/servers.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <utility>
 
@@ -19,6 +20,8 @@
 constexpr milliseconds drain_bound{3'000};
 /// The platform's rule for orders that were held up (RULES, thawSlackS).
 constexpr milliseconds thaw_slack{300};
+/// Longest fault of a path or server, and the time in which held-up requests still arrive.
+constexpr milliseconds longest_disturbance{8'000};
 constexpr int clock_slow_percent = 2;
 constexpr int percent = 100;
 constexpr int misdirected = 421;
@@ -92,6 +95,7 @@
                                                 std::chrono::system_clock::now().time_since_epoch())
                                                 .count());
     this->draining = false;
+    this->says_leaving = false;
     this->server = std::make_unique<wire::server>(
         this->loop,
         [this](const std::shared_ptr<wire::incoming>& request) { this->handle(request); });
@@ -139,12 +143,14 @@
 
 void keyed_server::set_draining() {
     this->draining = true;
+    this->says_leaving = true;
     this->draining_since = wire::event_loop::now();
     this->publish();
 }
 
 void keyed_server::freeze(bool next) {
     this->frozen = next;
+    this->stop_judging_pauses();
     if (!next) {
         for (const auto& action : std::exchange(this->waiting_for_thaw, {})) {
             action();
@@ -152,6 +158,11 @@
     }
 }
 
+void keyed_server::stop_judging_pauses() {
+    this->seen.statements().excuse_server(this->life_name());
+    this->pauses_unjudged_until = wire::event_loop::now() + longest_disturbance;
+}
+
 void keyed_server::publish() {
     const auto now = std::chrono::duration_cast<milliseconds>(
         std::chrono::system_clock::now().time_since_epoch());
@@ -282,6 +293,14 @@
         return;
     }
     this->check_leaving(next);
+    if (const auto broken = this->seen.statements().reached(next.request_id, this->life_name(),
+                                                            wire::event_loop::now())) {
+        this->seen.broken("server statements", *broken);
+    }
+    if (this->defect == server_defect::asks_pauses && this->random() % 8 == 0) {
+        this->turn_away(next);
+        return;
+    }
     if (this->running < slots) {
         this->run(std::move(next));
     } else if (this->queue.size() < queue_length) {
@@ -301,6 +320,32 @@
     }
 }
 
+void keyed_server::add_statements(wire::header_list& headers) const {
+    headers.push_back({"Served-By", this->life_name()});
+    if (this->says_leaving) {
+        headers.push_back({"Server-Leaving", "1"});
+    }
+}
+
+/// Refuses a request and asks for a pause, or states one that is none.
+void keyed_server::turn_away(const job& next) {
+    static constexpr std::array odd{"-3", "soon", "1e9", ""};
+    wire::header_list headers = this->refusal_headers(next.request_id);
+    if (this->random() % 8 == 0) {
+        headers.push_back({"Retry-After", odd.at(this->random() % odd.size())});
+    } else {
+        const milliseconds pause(600 + static_cast<std::int64_t>(this->random() % 1'500));
+        headers.push_back(
+            {"Retry-After",
+             std::to_string(std::chrono::duration<double>(pause).count()).substr(0, 5)});
+        const time_point now = wire::event_loop::now();
+        if (now > this->pauses_unjudged_until) {
+            this->seen.statements().asked_pause(next.request_id, this->life_name(), pause, now);
+        }
+    }
+    reply(next.request, unavailable, "", std::move(headers));
+}
+
 wire::header_list keyed_server::refusal_headers(const std::string& request_id) {
     wire::header_list headers{{"Not-Executed", "1"},
                               {"Request-Id", request_id},
@@ -309,6 +354,7 @@
     if (this->defect == server_defect::repeats_refusals) {
         headers.push_back({defect_header, this->random() % 2 == 0 ? "repeat-idle" : "repeat"});
     }
+    this->add_statements(headers);
     return headers;
 }
 
@@ -334,6 +380,7 @@
         wire::header_list headers{{"Request-Id", done.request_id},
                                   {"Response-Signature", "signed " + done.request_id},
                                   {"Server-Load", this->load()}};
+        this->add_statements(headers);
         if (this->defect == server_defect::endless_answers && this->random() % 8 == 0) {
             headers.push_back(
                 {defect_header, this->random() % 2 == 0 ? "endless-head" : "endless-body"});
--- a/tests/soak/servers.h
+++ b/tests/soak/servers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "proxy.h"
+#include "statements.h"
 #include "stores.h"
 #include "wire/loop.h"
 #include "wire/server.h"
@@ -42,6 +43,9 @@
         return this->without_end.contains(request);
     }
 
+    /// What servers have said of themselves.
+    statement_ledger& statements() { return this->stated; }
+
     /// Checks the fence of a grant against all under which other servers had its keys.
     /// @param holder  names one life of a server
     void took(const std::string& service, std::uint32_t first, std::uint32_t last,
@@ -54,6 +58,7 @@
     time_point forgiven_since;
     time_point last_disturbed;
     std::set<std::string> without_end;
+    statement_ledger stated;
     struct taking {
         std::uint64_t fence = 0;
         std::string holder;
@@ -69,6 +74,8 @@
     repeats_refusals,
     /// Begins an answer whose head or body never ends.
     endless_answers,
+    /// Turns some requests away and asks for a pause.
+    asks_pauses,
 };
 
 /// Keys that a server holds.
@@ -88,15 +95,21 @@
                  const std::vector<std::unique_ptr<keyed_server>>& others);
 
     const std::string& name() const { return this->id; }
+    /// Names the present life of the server.
+    std::string life_name() const { return this->id + "/" + std::to_string(this->life); }
     bool up() const { return this->server != nullptr; }
     void start();
     /// Ends the process; its entry goes after a time.
     void crash();
     void set_draining();
+    /// States in each answer from now on that it is leaving, before its entry says so.
+    void say_leaving() { this->says_leaving = true; }
     /// Takes no new connections, and finishes what it has.
     void leave();
     /// Answers nothing until it is resumed, then goes on as if nothing had happened.
     void freeze(bool frozen);
+    /// Requests may be held up on their way for a while, so pauses are not judged.
+    void stop_judging_pauses();
     void set_defect(server_defect next) { this->defect = next; }
     /// Registers as the store is back from a copy, or lets the entry of the copy expire.
     void register_again();
@@ -124,6 +137,9 @@
     void publish();
     /// Removes the entry after three heartbeat intervals if the server is still down.
     void expire_entry();
+    /// Headers of each answer: the server's life, and what it says of itself.
+    void add_statements(wire::header_list& headers) const;
+    void turn_away(const job& next);
     wire::header_list refusal_headers(const std::string& request_id);
     std::string load() const;
 
@@ -140,8 +156,10 @@
     /// Counts starts, so that work of an earlier life ends without an effect.
     int life = 0;
     bool draining = false;
+    bool says_leaving = false;
     time_point draining_since;
     bool frozen = false;
+    time_point pauses_unjudged_until;
     server_defect defect = server_defect::none;
     std::vector<std::function<void()>> waiting_for_thaw;
     std::vector<hold> held;
