Act on what servers state about themselves in their answers

Cause: a server that leaves says so in each answer, and one that refuses a request may state for how long it wants none. Neither was read: a host learned of leaving servers from the store only, and went on sending to one that had asked for a pause.

Change: free functions over a struct for each server instance record both and decide (server_notices). A leaving server gets nothing more from the host; an owner its own keys for 1.5 s, while the host tells the coordinator in each report, which moves them. A paused server gets nothing until the end, at most 60 s; a request waits for it if it can still be served then and is refused at once otherwise, with a time to return behind the earliest end. Notices belong to the instance: they survive the removal and return of its entry, older entries and relayed lists, and end with the next instance. An answer that was cut after its head counts too. Odd times are logged and bounded.

Ruled out: two requests within a pause, as the rule allows; they would only be refused once more.

--- a/libs/gateway/include/gateway/balancer.h
+++ b/libs/gateway/include/gateway/balancer.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 #include "gateway/directory.h"
+#include "gateway/server_notices.h"
 
 #include <cstdint>
 #include <optional>
@@ -74,6 +75,7 @@
     time_point first_seen;
     /// Earliest time at which it may have begun to drain; the epoch if that is not known.
     time_point draining_since;
+    server_notices notices;
 };
 
 /// Network distance of a server from this host.
@@ -98,7 +100,7 @@
 /// Whether the server last reported that all of its slots were in use.
 bool is_full(const server_state& server);
 
-/// Whether the server may receive requests now: not draining, replaced or paused.
+/// Whether the server may receive requests now: not draining, leaving, replaced or paused.
 bool is_available(const server_state& server, time_point now);
 
 /// Records a response: updates the averages, and pauses the server after too many failures.
--- a/libs/gateway/include/gateway/coordinator.h
+++ b/libs/gateway/include/gateway/coordinator.h
@@ -89,6 +89,9 @@
     std::map<service_id, std::map<server_id, service_time_sample>> speeds;
     /// Server incarnations that are known to have ended.
     std::vector<ranges::server_instance> ended;
+    /// Server incarnations that have stated that they are leaving, although their entries do not
+    /// say so. Repeated in each report.
+    std::vector<ranges::server_instance> leaving;
     /// Version of each service's owner table that the host has, as numbered by the coordinator; 0
     /// if it has none.
     std::map<service_id, std::uint64_t> owners;
--- a/libs/gateway/include/gateway/errors.h
+++ b/libs/gateway/include/gateway/errors.h
@@ -25,6 +25,7 @@
     unidentified_response = 1513,
     unproved_refusal = 1514,
     shutting_down = 1515,
+    servers_paused = 1516,
 };
 
 /// Returns all error codes of the gateway library with their names and messages.
--- a/libs/gateway/include/gateway/front.h
+++ b/libs/gateway/include/gateway/front.h
@@ -35,8 +35,11 @@
     std::string server;
     /// Present if the server has not run the request.
     std::string not_run;
-    /// Seconds, as a decimal fraction, after which a refused caller may retry.
+    /// Seconds, as a decimal fraction, after which a refused caller may retry, or for which a
+    /// server that has refused a request wants no more.
     std::string retry_after;
+    /// States that the responding server is leaving, unless its value is 0.
+    std::string leaving;
     /// Key of a request to a divided service, that is one whose keys are partitioned among its
     /// servers.
     std::string key;
@@ -97,6 +100,8 @@
     /// Returns the server instances found since the last call to have ended, because another server
     /// responds at their address.
     std::vector<ranges::server_instance> take_ended_servers();
+    /// Returns the registered server instances that have stated in an answer that they are leaving.
+    std::vector<ranges::server_instance> leaving_servers() const;
     /// Sets when `abort_open_requests` will be called because this process ends. Requests that
     /// could probably not be answered by then are refused from now on, so that callers can send
     /// them to another host.
--- a/libs/gateway/src/balancer.cpp
+++ b/libs/gateway/src/balancer.cpp
@@ -106,7 +106,8 @@
 }
 
 bool is_available(const server_state& server, time_point now) {
-    return !server.entry.draining && !server.replaced && now >= server.paused_until;
+    return !server.entry.draining && !server.replaced && now >= server.paused_until &&
+           accepts_work(server.notices, now);
 }
 
 void record_answer(server_state& server, microseconds took, bool failed,
--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -25,6 +25,9 @@
 /// Number of terms that a store may lose when it comes back from a copy.
 constexpr std::uint64_t max_lost_terms = 1'000;
 constexpr milliseconds commit_retry_delay{150};
+/// Time for which a server counts as leaving after the last host has reported it. The hosts that
+/// know it may have been restarted since.
+constexpr milliseconds leaving_retention = std::chrono::minutes{10};
 /// Number of owner changes that are kept for incremental updates; hosts that are further behind get
 /// the whole table.
 constexpr std::size_t max_history = 64;
@@ -168,6 +171,9 @@
     std::map<host_id, time_point> reports{};
     /// Server incarnations that have ended although they may still be registered.
     std::set<ranges::server_instance> ended{};
+    /// Server incarnations that have stated to a host that they are leaving, by the time of the
+    /// last report that said so.
+    std::map<ranges::server_instance, time_point> leaving{};
     /// Includes servers that are no longer registered but still have to release keys.
     std::map<server_id, wire::endpoint> addresses{};
     time_point last_tick{};
@@ -757,6 +763,9 @@
                 constexpr int forget_after = 4;
                 return now - entry.second > forget_after * report_max_age;
             });
+            std::erase_if(this->leaving, [now](const auto& entry) {
+                return now - entry.second > leaving_retention;
+            });
             const auto live = std::count_if(
                 this->reports.begin(), this->reports.end(),
                 [now](const auto& entry) { return now - entry.second < report_max_age; });
@@ -873,6 +882,9 @@
             own.keeper.set_instance_ended(life, now);
         }
     }
+    for (const ranges::server_instance& life : report.leaving) {
+        this->leaving[life] = now;
+    }
     for (const auto& [service, keys] : report.keys) {
         const auto found = this->managed.find(service);
         if (found != this->managed.end()) {
@@ -981,7 +993,8 @@
     std::vector<ranges::candidate> candidates;
     for (const auto& [id, entry] : this->servers.servers()) {
         if (entry.service == service) {
-            const bool stays = !entry.draining && !this->ended.contains(entry.life);
+            const bool stays = !entry.draining && !this->ended.contains(entry.life) &&
+                               !this->leaving.contains(entry.life);
             const bool steady = stays && !this->servers.awaits_reregistration(id) &&
                                 this->knows_leaving_servers(now);
             candidates.push_back({entry.life, weight_of(own, entry), stays, steady});
--- a/libs/gateway/src/errors.cpp
+++ b/libs/gateway/src/errors.cpp
@@ -24,6 +24,7 @@
     error_entry{1514, "unproved_refusal",
                 "the refusal does not state that the request has not run"},
     error_entry{1515, "shutting_down", "the process ends before the request could be answered"},
+    error_entry{1516, "servers_paused", "the servers have asked for a pause that ends too late"},
 };
 
 }  // namespace
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -57,6 +57,9 @@
 /// Added to the cost of servers whose registration has lapsed, so that they are used only if no
 /// other server is available.
 constexpr double lapsed_registration_cost_ms = 60'000;
+/// Time for which the notices of a server that is no longer registered are kept. An entry from an
+/// older copy of the store appears within seconds.
+constexpr milliseconds former_notices_retention = std::chrono::minutes{10};
 /// Minimum Retry-After of refused requests, before jitter.
 constexpr milliseconds min_retry_after{60};
 constexpr int ms_per_second = 1'000;
@@ -181,6 +184,8 @@
     time_point retry_at;
     /// Server of the current attempt, or of the last one.
     server_id current_server;
+    /// Instance of `current_server` to which the attempt was sent.
+    ranges::server_instance current_instance;
     wire::call_id call;
     bool in_flight = false;
     time_point sent_at;
@@ -229,6 +234,9 @@
     std::map<service_id, std::vector<ranges::key_position>> seen_keys;
     std::map<service_id, std::map<server_id, service_time_sample>> service_times;
     std::vector<ranges::server_instance> ended_servers;
+    /// Notices of server instances that are not registered at the moment, and when they were
+    /// removed. Their entries may come back, also from an older copy of the store.
+    std::map<ranges::server_instance, std::pair<server_notices, time_point>> former_notices;
     int hosts = 1;
     /// Time at which open requests will be aborted; empty unless this process ends.
     std::optional<time_point> ends_at;
@@ -239,6 +247,8 @@
     telemetry::counter failed_count;
     telemetry::counter retried_count;
     telemetry::counter left_count;
+    telemetry::counter withheld_by_leaving;
+    telemetry::counter withheld_by_pause;
     telemetry::latency_histogram request_time;
 
     service_pool& service_of(const service_id& id, time_point now) {
@@ -273,6 +283,13 @@
     server_choice choose_server(const active_request& active, service_pool& pool, time_point now);
     server_choice choose_owner(const active_request& active, service_pool& pool, time_point now);
     bool try_send(const request_handle& active, service_pool& pool, time_point now);
+    void keep_notices(const server_state& server, time_point now);
+    void note_statement(const request_handle& active, const wire::response& message,
+                        time_point now);
+    std::optional<time_point> pause_end(const active_request& active, const service_pool& pool,
+                                        time_point now) const;
+    void count_withheld(const active_request& active, const service_pool& pool, time_point now);
+    bool refuse_if_paused(const request_handle& active, const service_pool& pool, time_point now);
     bool is_cut_by_shutdown(const active_request& active, const service_pool& pool, double wait_ms,
                             time_point now) const;
     void refuse_unfinishable(service_pool& pool, time_point now);
@@ -319,6 +336,7 @@
                                {},
                                {},
                                {},
+                               {},
                                1,
                                std::nullopt,
                                {},
@@ -328,6 +346,8 @@
                                {},
                                {},
                                {},
+                               {},
+                               {},
                                {}}) {
     const auto make = [&metrics](std::string_view name, std::string_view help) {
         const auto made = metrics.add_counter(name, help);
@@ -341,6 +361,12 @@
     impl.retried_count = make("greengagechute_retries_total", "Requests sent to a server again.");
     impl.left_count =
         make("greengagechute_callers_left_total", "Callers that left before the answer.");
+    impl.withheld_by_leaving = make("greengagechute_withheld_leaving_total",
+                                    "Requests that were not sent because their server has stated "
+                                    "that it is leaving.");
+    impl.withheld_by_pause = make("greengagechute_withheld_pause_total",
+                                  "Requests that were not sent because their servers have asked "
+                                  "for a pause.");
     const auto histogram = metrics.add_latency("greengagechute_request_seconds",
                                                "Time from a request's arrival to its answer.");
     if (histogram) {
@@ -364,10 +390,17 @@
 
 void front::set_servers(const directory& servers, time_point changed, time_point now) {
     state& impl = *this->implementation;
+    std::erase_if(impl.former_notices, [now](const auto& former) {
+        return now - former.second.second > former_notices_retention;
+    });
     for (auto& [id, service] : impl.services) {
-        std::erase_if(service.servers, [&servers](const auto& known) {
+        std::erase_if(service.servers, [&](const auto& known) {
             const server_entry* entry = servers.find(known.first);
-            return entry == nullptr || entry->service != known.second.entry.service;
+            const bool gone = entry == nullptr || entry->service != known.second.entry.service;
+            if (gone) {
+                impl.keep_notices(known.second, now);
+            }
+            return gone;
         });
     }
     for (const auto& [id, entry] : servers.servers()) {
@@ -375,8 +408,14 @@
         server_state& server = service.servers[id];
         const bool known = server.entry.life == entry.life;
         if (!known) {
+            impl.keep_notices(server, now);
             server = {};
             server.first_seen = now;
+            if (const auto former = impl.former_notices.find(entry.life);
+                former != impl.former_notices.end()) {
+                server.notices = former->second.first;
+                impl.former_notices.erase(former);
+            }
         }
         if (entry.draining && !server.entry.draining) {
             // A server that is draining when it is first seen may have drained for long.
@@ -419,6 +458,18 @@
     return std::exchange(this->implementation->service_times, {});
 }
 
+std::vector<ranges::server_instance> front::leaving_servers() const {
+    std::vector<ranges::server_instance> leaving;
+    for (const auto& [id, service] : this->implementation->services) {
+        for (const auto& [server_id, server] : service.servers) {
+            if (server.notices.leaving_since && !server.entry.draining) {
+                leaving.push_back(server.entry.life);
+            }
+        }
+    }
+    return leaving;
+}
+
 std::vector<ranges::server_instance> front::take_ended_servers() {
     return std::exchange(this->implementation->ended_servers, {});
 }
@@ -556,6 +607,9 @@
         this->refuse(active, gateway_errc::no_owner, now);
         return;
     }
+    if (this->refuse_if_paused(active, pool, now)) {
+        return;
+    }
     if (this->would_miss_deadline(*active, pool, now)) {
         this->refuse(active, gateway_errc::overloaded, now);
         return;
@@ -587,6 +641,12 @@
         (server.entry.draining && now > server.draining_since + max_draining_owner_use)) {
         return {nullptr, "owner_left"};
     }
+    if (is_pause_asked(server.notices, now)) {
+        return {nullptr, "owner_asked_pause"};
+    }
+    if (!accepts_owned_work(server.notices, max_draining_owner_use, now)) {
+        return {nullptr, "owner_leaving"};
+    }
     if (now < server.paused_until) {
         return {nullptr, "owner_paused"};
     }
@@ -627,8 +687,12 @@
 bool front::state::try_send(const request_handle& active, service_pool& pool, time_point now) {
     const server_choice found = this->choose_server(*active, pool, now);
     if (found.server == nullptr) {
+        this->count_withheld(*active, pool, now);
+        const ranges::server_instance* const owner =
+            active->divided ? owner_of(pool.owners, active->key) : nullptr;
         this->log.add(active->trail, telemetry::level::info, "request_waits",
                       {{"reason", found.wait_reason},
+                       {"server", owner != nullptr ? owner->id.value() : std::string()},
                        {"queue", pool.waiting.size()},
                        {"servers", pool.servers.size()},
                        {"owners_age", age_of(pool.owners_updated_at, now)}});
@@ -719,6 +783,122 @@
            left;
 }
 
+/// Keeps the notices of a server instance that is removed or replaced.
+void front::state::keep_notices(const server_state& server, time_point now) {
+    if (server.notices.leaving_since || is_pause_asked(server.notices, now)) {
+        this->former_notices[server.entry.life] = {server.notices, now};
+    }
+}
+
+/// Records what the server of the current attempt states about itself in an answer or in the head
+/// of one that was cut.
+void front::state::note_statement(const request_handle& active, const wire::response& message,
+                                  time_point now) {
+    std::vector<std::string> retry_after;
+    if (message.code == code::unavailable) {
+        retry_after = wire::header_values(message.headers, this->names.retry_after);
+    }
+    const server_statement stated =
+        interpret(wire::header_values(message.headers, this->names.leaving), retry_after);
+    if (!stated.leaving && stated.pause == milliseconds{0} && !stated.odd_pause) {
+        return;
+    }
+    auto& servers = this->service_of(active->service, now).servers;
+    const auto found = servers.find(active->current_server);
+    const bool registered =
+        found != servers.end() && found->second.entry.life == active->current_instance;
+    server_notices& known =
+        registered
+            ? found->second.notices
+            : this->former_notices.try_emplace(active->current_instance, server_notices{}, now)
+                  .first->second.first;
+    const bool was_leaving = known.leaving_since.has_value();
+    record(known, stated, now);
+    if (stated.leaving && !was_leaving) {
+        telemetry::log_info(this->log, "server_leaving",
+                            {{"in_answer_to", active->id},
+                             {"server", active->current_server.value()},
+                             {"born", active->current_instance.start_time_ms}});
+    }
+    if (stated.odd_pause) {
+        telemetry::log_warning(this->log, "server_pause_odd",
+                               {{"in_answer_to", active->id},
+                                {"server", active->current_server.value()},
+                                {"stated", retry_after.front()},
+                                {"values", retry_after.size()},
+                                {"granted", stated.pause}});
+    }
+    if (stated.pause > milliseconds{0}) {
+        telemetry::log_info(
+            this->log, "server_asks_pause",
+            {{"in_answer_to", active->id},
+             {"server", active->current_server.value()},
+             {"born", active->current_instance.start_time_ms},
+             {"until", std::chrono::ceil<milliseconds>(*known.paused_until - now)}});
+    }
+}
+
+/// When the first server that may run the request ends the pause that it asked for; empty if there
+/// is a server that did not ask for one.
+std::optional<time_point> front::state::pause_end(const active_request& active,
+                                                  const service_pool& pool, time_point now) const {
+    if (active.divided) {
+        const ranges::server_instance* owner = owner_of(pool.owners, active.key);
+        const auto found = owner == nullptr ? pool.servers.end() : pool.servers.find(owner->id);
+        return found != pool.servers.end() && found->second.entry.life == *owner &&
+                       is_pause_asked(found->second.notices, now)
+                   ? found->second.notices.paused_until
+                   : std::nullopt;
+    }
+    std::optional<time_point> earliest;
+    for (const auto& [id, server] : pool.servers) {
+        if (server.entry.draining || server.replaced || server.notices.leaving_since) {
+            continue;
+        }
+        if (!is_pause_asked(server.notices, now)) {
+            return std::nullopt;
+        }
+        earliest =
+            std::min(earliest.value_or(*server.notices.paused_until), *server.notices.paused_until);
+    }
+    return earliest;
+}
+
+/// Counts a request that is not sent now because of what its servers have stated.
+void front::state::count_withheld(const active_request& active, const service_pool& pool,
+                                  time_point now) {
+    if (this->pause_end(active, pool, now)) {
+        this->withheld_by_pause.add();
+        return;
+    }
+    const ranges::server_instance* const owner =
+        active.divided ? owner_of(pool.owners, active.key) : nullptr;
+    const auto found = owner == nullptr ? pool.servers.end() : pool.servers.find(owner->id);
+    if (found != pool.servers.end() &&
+        !accepts_owned_work(found->second.notices, max_draining_owner_use, now)) {
+        this->withheld_by_leaving.add();
+    }
+}
+
+/// Refuses the request if all servers that may run it have asked for pauses that end too late for
+/// it. Returns whether it was refused.
+bool front::state::refuse_if_paused(const request_handle& active, const service_pool& pool,
+                                    time_point now) {
+    const auto end = this->pause_end(*active, pool, now);
+    if (!end) {
+        return false;
+    }
+    const auto to_ms = [](auto span) {
+        return std::chrono::duration<double, std::milli>(span).count();
+    };
+    if (to_ms(active->answer_by - *end) >= pool.latency_ms * min_useful_time_ratio &&
+        !this->is_cut_by_shutdown(*active, pool, to_ms(*end - now), now)) {
+        return false;
+    }
+    this->refuse(active, gateway_errc::servers_paused, now);
+    return true;
+}
+
 /// Whether this process would probably end before the request is answered.
 /// @param wait_ms  time until the request can be sent
 bool front::state::is_cut_by_shutdown(const active_request& active, const service_pool& pool,
@@ -776,6 +956,7 @@
     this->log_sent(active, pool, server, left, now);
     active->in_flight = true;
     active->current_server = server.entry.life.id;
+    active->current_instance = server.entry.life;
     active->sent_at = now;
     ++server.in_flight;
     wire::call_options options;
@@ -840,6 +1021,12 @@
         return;
     }
     if (outcome.error) {
+        const std::string* const echoed =
+            wire::find_header(outcome.message.headers, this->names.request_id);
+        if (echoed != nullptr && *echoed == active->id) {
+            // The answer was cut after its head.
+            this->note_statement(active, outcome.message, now);
+        }
         if (server != nullptr) {
             const time_point before = server->paused_until;
             record_no_response(*server, this->settings.balancer, now);
@@ -870,6 +1057,9 @@
         this->on_failure(active, make_error_code(gateway_errc::unidentified_response), now);
         return;
     }
+    if (!replaced) {
+        this->note_statement(active, outcome.message, now);
+    }
     if (server != nullptr) {
         if (const std::string* reported =
                 wire::find_header(outcome.message.headers, this->names.load)) {
@@ -1128,6 +1318,10 @@
             this->refuse(active, gateway_errc::no_owner, now);
             continue;
         }
+        if (this->refuse_if_paused(active, pool, now)) {
+            next = pool.waiting.erase(next);
+            continue;
+        }
         const double left =
             std::chrono::duration<double, std::milli>(active->answer_by - now).count();
         if (left < pool.latency_ms * min_useful_time_ratio) {
@@ -1151,9 +1345,12 @@
     const service_pool& pool = this->service_of(active->service, now);
     const milliseconds min_delay =
         is_long_unowned(*active, pool, now) ? unowned_retry_after : min_retry_after;
-    const double wait_ms = std::max<double>(static_cast<double>(min_delay.count()),
-                                            this->estimated_wait_ms(*active, pool, now) / 2) *
-                           (1.0 + this->random_unit());
+    double wait_ms = std::max<double>(static_cast<double>(min_delay.count()),
+                                      this->estimated_wait_ms(*active, pool, now) / 2) *
+                     (1.0 + this->random_unit());
+    if (const auto end = this->pause_end(*active, pool, now)) {
+        wait_ms += std::chrono::duration<double, std::milli>(*end - now).count();
+    }
     this->log.add(
         active->trail, telemetry::level::warning, "request_refused",
         {{"service", active->service.value()},
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -159,6 +159,7 @@
             local_report.keys = this->frontend.take_keys();
             local_report.speeds = this->frontend.take_service_times();
             local_report.ended = this->frontend.take_ended_servers();
+            local_report.leaving = this->frontend.leaving_servers();
             return local_report;
         };
         return handlers;
--- a/libs/gateway/src/reports.cpp
+++ b/libs/gateway/src/reports.cpp
@@ -124,8 +124,11 @@
     for (const auto& [service, version] : report.owners) {
         text["owners"][service.value()] = version;
     }
-    for (const ranges::server_instance& life : report.ended) {
-        text["ended"].push_back({life.id.value(), life.start_time_ms});
+    for (const auto& [name, instances] :
+         {std::pair{"ended", &report.ended}, std::pair{"leaving", &report.leaving}}) {
+        for (const ranges::server_instance& life : *instances) {
+            text[name].push_back({life.id.value(), life.start_time_ms});
+        }
     }
     text["keys"] = nlohmann::json::object();
     for (const auto& [service, keys] : report.keys) {
@@ -174,13 +177,17 @@
             report.owners[service_id(service)] = version.get<std::uint64_t>();
         }
     }
-    if (parsed.contains("ended") && parsed["ended"].is_array()) {
-        for (const nlohmann::json& life : parsed["ended"]) {
+    for (const auto& [name, instances] :
+         {std::pair{"ended", &report.ended}, std::pair{"leaving", &report.leaving}}) {
+        if (!parsed.contains(name) || !parsed[name].is_array()) {
+            continue;
+        }
+        for (const nlohmann::json& life : parsed[name]) {
             if (!life.is_array() || life.size() != 2 || !life[0].is_string() ||
                 !life[1].is_number_unsigned()) {
                 return false;
             }
-            report.ended.push_back(
+            instances->push_back(
                 {server_id(life[0].get<std::string>()), life[1].get<std::uint64_t>()});
         }
     }
--- a/libs/gateway/tests/fakes.h
+++ b/libs/gateway/tests/fakes.h
@@ -21,8 +21,8 @@
     return {0, number};
 }
 inline header_names make_header_names() {
-    return {"Own-Id",        "Own-Deadline", "Own-Signature", "Own-Server", "Own-Load",
-            "Own-Answering", "Own-Not-Run",  "Retry-After",   "Own-Key"};
+    return {"Own-Id",        "Own-Deadline", "Own-Signature", "Own-Server",  "Own-Load",
+            "Own-Answering", "Own-Not-Run",  "Retry-After",   "Own-Leaving", "Own-Key"};
 }
 /// In-memory store with a call latency, whose commits can be rejected or lose their result.
 class memory_store : public table_store {
--- a/libs/gateway/tests/host_test.cpp
+++ b/libs/gateway/tests/host_test.cpp
@@ -18,6 +18,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 // Tests of one whole gateway beside a coordinator that the test plays.
 
@@ -98,8 +99,11 @@
     std::unique_ptr<gateway::gateway> host;
     /// What the coordinator answers to reports.
     gateway::report_answer answer;
+    /// Reports that the coordinator has got.
+    std::vector<gateway::host_report> reports;
     std::unique_ptr<wire::server> coordinator;
     std::unique_ptr<wire::server> plain;
+    bool plain_leaves = false;
     /// Requests that reached the server of the undivided service.
     std::set<std::string> run_requests;
     /// Statuses of the answers to `post`, by request id.
@@ -132,6 +136,7 @@
     void start_coordinator() {
         this->coordinator = std::make_unique<wire::server>(
             this->loop, [this](const std::shared_ptr<wire::incoming>& asked) {
+                BOOST_REQUIRE(decode(asked->message().body, this->reports.emplace_back()));
                 wire::response reply;
                 reply.code = 200;
                 reply.body = encode(this->answer);
@@ -169,6 +174,9 @@
                 wire::response reply;
                 reply.code = 200;
                 reply.headers = {{"Own-Id", *id}, {"Own-Signature", "s"}};
+                if (this->plain_leaves) {
+                    reply.headers.push_back({"Own-Leaving", "1"});
+                }
                 this->loop.call_after(work, [asked, reply] { asked->answer(reply); });
             });
         BOOST_REQUIRE(!this->plain->open({"127.0.0.1", 0}));
@@ -364,3 +372,48 @@
     BOOST_TEST(!test.run_requests.contains("late on a kept connection"));
     BOOST_TEST(!test.run_requests.contains("late on a new connection"));
 }
+
+// Guards against keys that stay with a server which has said in an answer that it is leaving, while
+// the store does not know it yet.
+BOOST_AUTO_TEST_CASE(keys_of_a_server_that_says_it_leaves_move) {
+    host_fixture test;
+    test.start_host();
+    test.run_for(1'500ms);
+    BOOST_REQUIRE(test.orders.grants[gg::server_id("a")] > 0);
+    BOOST_REQUIRE(test.orders.grants[gg::server_id("b")] == 0);
+    gateway::host_report report;
+    report.host = gg::host_id("other");
+    report.leaving = {{gg::server_id("a"), 1}};
+    wire::client other(test.loop, {});
+    wire::request message;
+    message.method = "POST";
+    message.target = "/coordination/report";
+    message.headers = {{"Host", "h"}};
+    message.body = encode(report);
+    other.send(test.settings.peers, message, {}, [](const wire::call_result&) {});
+    test.run_for(600ms);
+    BOOST_TEST(test.orders.releases > 0);
+    BOOST_TEST(test.orders.grants[gg::server_id("b")] > 0);
+    BOOST_TEST(test.orders.overlapping_grants == 0);
+}
+
+// Guards against a new coordinator that does not learn which servers have said that they leave.
+BOOST_AUTO_TEST_CASE(leaving_servers_are_reported_again_and_again) {
+    host_fixture test;
+    test.start_coordinator();
+    test.add_plain_server(1ms);
+    test.start_host();
+    test.run_for(300ms);
+    test.plain_leaves = true;
+    wire::client caller(test.loop, {});
+    test.post(caller, "r");
+    test.run_for(200ms);
+    BOOST_REQUIRE(test.statuses["r"] == 200);
+    for (int count = 0; count < 2; ++count) {
+        test.reports.clear();
+        test.run_for(300ms);
+        BOOST_REQUIRE(!test.reports.empty());
+        BOOST_REQUIRE(test.reports.back().leaving.size() == 1U);
+        BOOST_TEST(test.reports.back().leaving.front().id.value() == "p");
+    }
+}
--- a/libs/wire/include/wire/client.h
+++ b/libs/wire/include/wire/client.h
@@ -37,7 +37,8 @@
 };
 
 struct call_result {
-    /// Empty if `message` holds the whole response.
+    /// Empty if `message` holds the whole response. If the peer closed within the response,
+    /// `message` holds its head as far as that was complete.
     status error;
     response message;
     /// The request was given to an established connection, so the server may have run it.
--- a/libs/wire/include/wire/message.h
+++ b/libs/wire/include/wire/message.h
@@ -21,6 +21,8 @@
 
 /// Value of the first header of that name, in any case; nullptr if there is none.
 const std::string* find_header(const header_list& headers, std::string_view name);
+/// Values of all headers of that name, in any case and in their order.
+std::vector<std::string> header_values(const header_list& headers, std::string_view name);
 void set_header(header_list& headers, std::string_view name, std::string value);
 void remove_header(header_list& headers, std::string_view name);
 
@@ -108,6 +110,9 @@
     status error() const;
     bool in_message() const;
     response take();
+    /// Status and headers of a response whose body has not been read whole; no headers if its head
+    /// is not complete.
+    response take_head();
 
 private:
     struct state;
--- a/libs/wire/src/client.cpp
+++ b/libs/wire/src/client.cpp
@@ -249,6 +249,7 @@
         failed->channel = nullptr;
         call_result outcome;
         outcome.error = code;
+        outcome.message = channel->parser.take_head();
         this->end_call(failed, std::move(outcome));
     }
 }
--- a/libs/wire/src/message.cpp
+++ b/libs/wire/src/message.cpp
@@ -226,6 +226,16 @@
     return found == headers.end() ? nullptr : &found->value;
 }
 
+std::vector<std::string> header_values(const header_list& headers, std::string_view name) {
+    std::vector<std::string> values;
+    for (const header& line : headers) {
+        if (same_name(line.name, name)) {
+            values.emplace_back(trimmed(line.value));
+        }
+    }
+    return values;
+}
+
 void remove_header(header_list& headers, std::string_view name) {
     std::erase_if(headers, [name](const header& line) { return same_name(line.name, name); });
 }
@@ -398,6 +408,16 @@
     return this->implementation->begun && !this->implementation->complete;
 }
 
+response response_parser::take_head() {
+    state& own = *this->implementation;
+    response message;
+    if (own.headers_done && !own.complete) {
+        message.code = own.parser.status_code;
+        message.headers = std::move(own.headers);
+    }
+    return message;
+}
+
 response response_parser::take() {
     state& own = *this->implementation;
     response message;
--- a/programs/greengagechutectl/tests/explain_test.cpp
+++ b/programs/greengagechutectl/tests/explain_test.cpp
@@ -57,6 +57,24 @@
     BOOST_TEST(!has(found.text, "missing"));
 }
 
+// Guards against an account that does not tell why a server got nothing: it had said in the answer
+// to another request that it is leaving, or for how long it wants no requests.
+BOOST_AUTO_TEST_CASE(account_names_what_servers_have_said) {
+    const std::string leaving =
+        line("09.800", "a", "server_leaving", R"("in_answer_to":"q","server":"x","born":1)");
+    const std::string pause = line("09.900", "a", "server_asks_pause",
+                                   R"("in_answer_to":"q","server":"x","born":1,"until":800)");
+    const std::string elsewhere =
+        line("09.900", "b", "server_asks_pause", R"("in_answer_to":"q","server":"x","until":800)");
+    const std::string sent = line("10.200", "a", "request_sent", R"("request":"r","server":"x")");
+    const ctl::account found =
+        explain("r", leaving + pause + accepted + sent + refused + answered, elsewhere);
+    BOOST_TEST(has(found.text, "-300.0 ms  a  server_leaving"));
+    BOOST_TEST(has(found.text, "-200.0 ms  a  server_asks_pause"));
+    BOOST_TEST(has(found.text, "until=800"));
+    BOOST_TEST(!has(found.text, "  b  server_asks_pause"));
+}
+
 // Guards against a cut file or a prefix of a log collector that ends the account.
 BOOST_AUTO_TEST_CASE(cut_files_and_prefixes_are_read) {
     const ctl::account found = explain("r", "03:04 host-a " + accepted + "me\":\"x\"}\n",
