--- a/libs/gateway/tests/notices_test.cpp
+++ b/libs/gateway/tests/notices_test.cpp
@@ -16,7 +16,6 @@
 
 namespace gg = greengagechute;
 namespace gateway = greengagechute::gateway;
-namespace ranges = greengagechute::ranges;
 namespace wire = greengagechute::wire;
 
 using namespace std::chrono_literals;
--- a/tests/soak/statements.cpp
+++ b/tests/soak/statements.cpp
@@ -1,5 +1,7 @@
 #include "statements.h"
 
+#include <string_view>
+
 namespace greengagechute::soak {
 
 namespace {
@@ -41,10 +43,15 @@
         return std::nullopt;
     }
     const link used{found->second.gateway, server};
+    const auto violation = [&request, &used](std::string_view cause) {
+        std::string text = "request ";
+        text.append(request).append(" of ").append(used.first).append(" reached ");
+        text.append(used.second).append(cause);
+        return text;
+    };
     const auto left = this->leaving.find(used);
     if (left != this->leaving.end() && found->second.sent > left->second + drain_bound) {
-        return "request " + request + " of " + used.first + " reached " + server +
-               " that had said it was leaving";
+        return violation(" that had said it was leaving");
     }
     const auto paused = this->pauses.find(used);
     if (paused == this->pauses.end()) {
@@ -52,8 +59,7 @@
     }
     for (pause_window& window : paused->second) {
         if (window.from <= when && when <= window.until && ++window.arrivals > max_in_pause) {
-            return "request " + request + " of " + used.first + " reached " + server +
-                   " in the pause that it had asked for";
+            return violation(" in the pause that it had asked for");
         }
     }
     return std::nullopt;
