Limit the requests for hot keys by the demand of all hosts

Change: hosts report the queues that owners of limited keys state; the coordinator limits hot buckets, and its answers name the fraction that each host sends. Hosts refuse the others at once (error 1517), with a time to return that grows with the part that is refused. A limit that is not stated again ends after 3 s; a new coordinator says nothing about limits for 1.5 s. With the refusal taken out, requests_beyond_the_limit... fails: 40 of 40 requests are sent, not 10.

--- a/libs/gateway/include/gateway/coordinator.h
+++ b/libs/gateway/include/gateway/coordinator.h
@@ -5,6 +5,7 @@
 #include "gateway/balancer.h"
 #include "gateway/catalogue.h"
 #include "gateway/directory.h"
+#include "gateway/key_limits.h"
 #include "gateway/store.h"
 #include "ranges/key_load.h"
 #include "ranges/lease_manager.h"
@@ -63,6 +64,12 @@
     /// Interval at which the coordinator sends due orders and updates leases.
     milliseconds tick_interval{50};
     milliseconds balance_interval{500};
+    /// Interval at which limits of hot keys are decided.
+    milliseconds limit_interval{200};
+    /// Time constant of the load that limits are decided by.
+    milliseconds limit_load_decay{500};
+    /// Time for which a new coordinator learns the load before it ends limits of the former one.
+    milliseconds limit_learning_time{1'500};
     milliseconds order_timeout{600};
     /// Time after an outage of the store during which a refused connection does not count as a sign
     /// of a crash. Servers register again within about two seconds after an outage, and a server
@@ -87,6 +94,10 @@
     std::map<service_id, std::vector<ranges::key_position>> keys;
     /// Measured service times.
     std::map<service_id, std::map<server_id, service_time_sample>> speeds;
+    /// Queues reported by the owners of limited keys.
+    std::map<service_id, std::map<server_id, queue_sample>> queues;
+    /// Version of the limits that the host has; 0 if it has none.
+    std::uint64_t limits = 0;
     /// Server incarnations that are known to have ended.
     std::vector<ranges::server_instance> ended;
     /// Server incarnations that have stated that they are leaving, although their entries do not
@@ -130,6 +141,9 @@
     int hosts = 1;
     std::uint64_t term = 0;
     std::map<service_id, owners_update> owners;
+    /// Empty if there are no limits and the host has none, or if the coordinator does not know the
+    /// load yet.
+    std::optional<limits_update> limits;
     /// Servers that changed after the store version in the report; empty if the coordinator has no
     /// recent data from the store or the version is older than its history.
     std::optional<directory_update> servers;
@@ -155,6 +169,8 @@
 struct coordinator_handlers {
     /// The owners of a service's keys have changed; the table is complete.
     std::function<void(const service_id&, ranges::range_table)> owners_changed;
+    /// The limits are known anew.
+    std::function<void(const limits_update&)> limits_changed;
     /// A remote coordinator has sent changes of servers.
     std::function<void(const directory_update&)> servers_relayed;
     /// A remote coordinator has named the newest configuration row that it has read.
--- a/libs/gateway/include/gateway/errors.h
+++ b/libs/gateway/include/gateway/errors.h
@@ -26,6 +26,7 @@
     unproved_refusal = 1514,
     shutting_down = 1515,
     servers_paused = 1516,
+    key_limited = 1517,
 };
 
 /// Returns all error codes of the gateway library with their names and messages.
--- a/libs/gateway/include/gateway/front.h
+++ b/libs/gateway/include/gateway/front.h
@@ -5,6 +5,7 @@
 #include "gateway/balancer.h"
 #include "gateway/catalogue.h"
 #include "gateway/directory.h"
+#include "gateway/key_limits.h"
 #include "ranges/range_table.h"
 #include "telemetry/logger.h"
 #include "telemetry/metrics.h"
@@ -86,6 +87,9 @@
     void set_servers(const directory& servers, time_point changed, time_point now);
     /// Replaces the owners of the key ranges of a divided service.
     void set_owners(const service_id& service, ranges::range_table owners);
+    /// Replaces the limits of hot keys of all services. They hold for `max_limit_age` unless they
+    /// are set again.
+    void set_limits(const limits_update& update, time_point now);
     /// Sets the number of hosts that share the servers and the retry budget; at least 1 is used.
     void set_host_count(int hosts);
 
@@ -97,6 +101,8 @@
     std::map<service_id, std::vector<ranges::key_position>> take_keys();
     /// Returns the service times measured since the last call, per divided service and server.
     std::map<service_id, std::map<server_id, service_time_sample>> take_service_times();
+    /// Returns the queues that owners of limited keys have reported since the last call.
+    std::map<service_id, std::map<server_id, queue_sample>> take_queues();
     /// Returns the server instances found since the last call to have ended, because another server
     /// responds at their address.
     std::vector<ranges::server_instance> take_ended_servers();
--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -1,5 +1,7 @@
 #include "gateway/coordinator.h"
 
+#include "admission/request_share.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -25,6 +27,10 @@
 /// Number of terms that a store may lose when it comes back from a copy.
 constexpr std::uint64_t max_lost_terms = 1'000;
 constexpr milliseconds commit_retry_delay{150};
+constexpr std::uint64_t limits_versions_per_term = 1'000'000;
+/// Mean service time of the users' requests as a multiple of their geometric mean, which a few long
+/// requests do not dominate.
+constexpr double mean_to_geometric_mean = 1.4;
 /// Time for which a server counts as leaving after the last host has reported it. The hosts that
 /// know it may have been restarted since.
 constexpr milliseconds leaving_retention = std::chrono::minutes{10};
@@ -98,12 +104,25 @@
 
 }  // namespace
 
+/// Limit on the requests for a hot bucket of keys.
+struct bucket_limit {
+    admission::rate_limit rate;
+    double fraction = 1;
+};
+
 /// Ownership state of one divided service, held while this host coordinates.
 struct managed_service {
-    explicit managed_service(ranges::lease_manager first) : keeper(std::move(first)) {}
+    managed_service(ranges::lease_manager first, milliseconds recent_decay)
+        : keeper(std::move(first)), recent_load(recent_decay) {}
 
     ranges::lease_manager keeper;
     ranges::key_load load;
+    /// Load of the last moments, which limits are decided by.
+    ranges::key_load recent_load;
+    /// By the first key of the bucket.
+    std::map<ranges::key_position, bucket_limit> limits;
+    /// Queues that servers reported since a limit was last adapted to them.
+    std::map<server_id, queue_sample> queues;
     /// Exponential moving average of the logarithm of each server's service time in milliseconds.
     std::map<server_id, double> speeds;
     /// A commit of the owner table is in progress.
@@ -178,6 +197,9 @@
     std::map<server_id, wire::endpoint> addresses{};
     time_point last_tick{};
     time_point last_balance{};
+    time_point last_limits{};
+    /// Raised when a limit begins or ends. The first one of a term is above those of earlier terms.
+    std::uint64_t limits_version = 0;
     time_point last_store_contact{};
     /// Last time at which the store was known to be unavailable, to this host or to a coordinator
     /// that it followed.
@@ -201,6 +223,8 @@
     std::map<service_id, ranges::range_table> known_owners{};
     std::map<service_id, std::uint64_t> known_versions{};
     std::uint64_t known_term = 0;
+    /// Version of the limits that this host got last; 0 if it has none.
+    std::uint64_t known_limits = 0;
     /// Copy made when this host became the coordinator: other hosts with the same versions need
     /// only the changes since then.
     std::map<service_id, ranges::range_table> inherited_owners{};
@@ -247,6 +271,11 @@
     void start_coordinating(std::uint64_t number);
     void step_down(std::string_view reason);
     void tick();
+    void update_limits(time_point now);
+    bool update_limits(const service_id& service, managed_service& own, time_point now);
+    bool knows_limits(time_point now) const;
+    int live_hosts(time_point now) const;
+    limits_update current_limits() const;
     void adopt_owners(const service_id& service, managed_service& own, time_point now);
     void update_leases(const service_id& service, time_point now);
     void apply_report(const host_report& report, time_point now);
@@ -455,6 +484,7 @@
     content.at_once = this->missed_reports > 0;
     content.owners = this->known_versions;
     content.servers = this->servers.version();
+    content.limits = this->known_limits;
     wire::request message;
     message.method = "POST";
     message.target = "/coordination/report";
@@ -535,6 +565,10 @@
                              {"ranges", known.ranges.size()}});
         this->handlers.owners_changed(service, known);
     }
+    if (answer.limits) {
+        this->known_limits = answer.limits->limits.empty() ? 0 : answer.limits->version;
+        this->handlers.limits_changed(*answer.limits);
+    }
     if (answer.store_outage_age) {
         this->note_store_outage(now - *answer.store_outage_age);
     }
@@ -681,6 +715,7 @@
     this->last_balance = now;
     this->last_store_contact = now;
     this->coordinating_since = now;
+    this->limits_version = number * limits_versions_per_term + 1;
     this->needs_reassertion = false;
     this->owners_verified = !this->term->owners_era || this->term->owners_era == this->store_era;
     telemetry::log_info(this->log, "coordinating",
@@ -751,6 +786,10 @@
             }
         }
         this->apply_report(this->handlers.collect_report(), now);
+        if (now - this->last_limits >= this->settings.limit_interval) {
+            this->last_limits = now;
+            this->update_limits(now);
+        }
         if (now - this->last_balance >= this->settings.balance_interval) {
             this->last_balance = now;
             for (auto& [id, service] : this->managed) {
@@ -766,10 +805,7 @@
             std::erase_if(this->leaving, [now](const auto& entry) {
                 return now - entry.second > leaving_retention;
             });
-            const auto live = std::count_if(
-                this->reports.begin(), this->reports.end(),
-                [now](const auto& entry) { return now - entry.second < report_max_age; });
-            this->handlers.hosts_counted(static_cast<int>(live) + 1);
+            this->handlers.hosts_counted(this->live_hosts(now));
         }
     }
     this->loop.call_after(this->settings.tick_interval, [this] { this->tick(); });
@@ -890,9 +926,21 @@
         if (found != this->managed.end()) {
             for (const ranges::key_position key : keys) {
                 found->second.load.add(key);
+                found->second.recent_load.add(key);
             }
         }
     }
+    for (const auto& [service, queues] : report.queues) {
+        const auto found = this->managed.find(service);
+        if (found == this->managed.end()) {
+            continue;
+        }
+        for (const auto& [server, sample] : queues) {
+            queue_sample& known = found->second.queues[server];
+            known.sum += sample.sum;
+            known.count += sample.count;
+        }
+    }
     for (const auto& [service, samples] : report.speeds) {
         const auto found = this->managed.find(service);
         if (found == this->managed.end()) {
@@ -926,6 +974,140 @@
            std::clamp(std::exp(mean - speed->second), min_relative_speed, max_relative_speed);
 }
 
+/// Mean service time of a server in milliseconds, or that of all servers if it is not known; 0 if
+/// none is known.
+double service_ms_of(const managed_service& own, const server_id& server) {
+    double log_ms = 0;
+    const auto speed = own.speeds.find(server);
+    if (speed != own.speeds.end()) {
+        log_ms = speed->second;
+    } else if (own.speeds.empty()) {
+        return 0;
+    } else {
+        for (const auto& [id, each] : own.speeds) {
+            log_ms += each / static_cast<double>(own.speeds.size());
+        }
+    }
+    return std::exp(log_ms) * mean_to_geometric_mean;
+}
+
+/// Decides the limits of hot keys, and tells the hosts at once if one begins or ends.
+void coordinator::state::update_limits(time_point now) {
+    bool changed = false;
+    for (auto& [service, own] : this->managed) {
+        own.recent_load.decay(now);
+        changed = this->update_limits(service, own, now) || changed;
+    }
+    if (changed) {
+        ++this->limits_version;
+    }
+    if (this->knows_limits(now)) {
+        this->handlers.limits_changed(this->current_limits());
+    }
+    if (changed) {
+        this->answer_held_reports(false, now);
+    }
+}
+
+/// Returns whether a limit has begun or ended.
+bool coordinator::state::update_limits(const service_id& service, managed_service& own,
+                                       time_point now) {
+    struct owner_state {
+        admission::owner_load load;
+        ranges::bucket_load hottest;
+    };
+    std::map<server_id, owner_state> owners;
+    std::map<ranges::key_position, server_id> owner_of_limited;
+    const ranges::range_table table = own.keeper.table();
+    for (const ranges::range_owner& entry : table.ranges) {
+        owner_state& owner = owners[entry.owner.id];
+        owner.load.total_per_s += own.recent_load.request_rate(entry.keys);
+        ranges::bucket_load hottest = own.recent_load.hottest_bucket(entry.keys);
+        for (auto limit = own.limits.lower_bound(entry.keys.first);
+             limit != own.limits.end() && limit->first <= entry.keys.last; ++limit) {
+            // Of a limited bucket, only what hosts send counts.
+            const double rate = own.recent_load.request_rate({limit->first, limit->first});
+            owner.load.total_per_s -= std::max(0.0, rate - limit->second.rate.per_s);
+            owner_of_limited[limit->first] = entry.owner.id;
+            hottest = hottest.first == limit->first ? ranges::bucket_load{} : hottest;
+        }
+        owner.hottest = hottest.per_s > owner.hottest.per_s ? hottest : owner.hottest;
+    }
+    const auto load_of = [&](const server_id& server) {
+        admission::owner_load load = owners[server].load;
+        const server_entry* const entry = this->servers.find(server);
+        load.slots = entry != nullptr ? std::max(1, entry->slots) : 1;
+        load.service_ms = service_ms_of(own, server);
+        load.hosts = this->live_hosts(now);
+        const auto queue = own.queues.find(server);
+        load.waiting = queue != own.queues.end() && queue->second.count > 0
+                           ? queue->second.sum / queue->second.count
+                           : -1;
+        return load;
+    };
+    bool changed = false;
+    for (auto limit = own.limits.begin(); limit != own.limits.end();) {
+        const auto owner = owner_of_limited.find(limit->first);
+        admission::owner_load load =
+            load_of(owner != owner_of_limited.end() ? owner->second : server_id());
+        load.hottest_per_s = own.recent_load.request_rate({limit->first, limit->first});
+        if (load.service_ms <= 0 || admission::is_unneeded(limit->second.rate, load)) {
+            telemetry::log_info(this->log, "key_limit_ended",
+                                {{"service", service.value()},
+                                 {"first", limit->first},
+                                 {"last", limit->first + ranges::keys_per_bucket - 1},
+                                 {"demand", load.hottest_per_s}});
+            limit = own.limits.erase(limit);
+            changed = true;
+            continue;
+        }
+        if (admission::adapt(limit->second.rate, load, now) && owner != owner_of_limited.end()) {
+            own.queues.erase(owner->second);
+        }
+        limit->second.fraction = admission::fraction_to_send(limit->second.rate, load);
+        ++limit;
+    }
+    for (const auto& [server, owner] : owners) {
+        admission::owner_load load = load_of(server);
+        load.hottest_per_s = owner.hottest.per_s;
+        if (server.value().empty() || load.service_ms <= 0 || !admission::needs_limit(load)) {
+            continue;
+        }
+        bucket_limit& limit = own.limits[owner.hottest.first];
+        limit.rate = admission::make_rate_limit(load, now);
+        limit.fraction = admission::fraction_to_send(limit.rate, load);
+        telemetry::log_info(this->log, "key_limited",
+                            {{"service", service.value()},
+                             {"first", owner.hottest.first},
+                             {"last", owner.hottest.first + ranges::keys_per_bucket - 1},
+                             {"server", server.value()},
+                             {"demand", load.hottest_per_s},
+                             {"allowed", limit.rate.per_s},
+                             {"fraction", limit.fraction}});
+        changed = true;
+    }
+    return changed;
+}
+
+/// Whether this coordinator has known the load for long enough to say that there are no limits.
+bool coordinator::state::knows_limits(time_point now) const {
+    return now - this->coordinating_since > this->settings.limit_learning_time ||
+           std::any_of(this->managed.begin(), this->managed.end(),
+                       [](const auto& entry) { return !entry.second.limits.empty(); });
+}
+
+limits_update coordinator::state::current_limits() const {
+    limits_update update;
+    update.version = this->limits_version;
+    for (const auto& [service, own] : this->managed) {
+        for (const auto& [first, limit] : own.limits) {
+            update.limits[service].push_back(
+                {{first, first + ranges::keys_per_bucket - 1}, limit.fraction});
+        }
+    }
+    return update;
+}
+
 /// Takes the stored owners over. If leases may be in force that the table does not show, no key is
 /// granted before they have expired.
 void coordinator::state::adopt_owners(const service_id& service, managed_service& own,
@@ -971,7 +1153,8 @@
     if (found == this->managed.end()) {
         found = this->managed
                     .emplace(service, managed_service(ranges::lease_manager(this->settings.keeper,
-                                                                            this->first_fence())))
+                                                                            this->first_fence()),
+                                                      this->settings.limit_load_decay))
                     .first;
         this->adopt_owners(service, found->second, now);
     }
@@ -1149,15 +1332,19 @@
     this->answer_held_reports(false, now);
 }
 
+/// Number of hosts that have reported lately, including this one.
+int coordinator::state::live_hosts(time_point now) const {
+    return 1 + static_cast<int>(std::count_if(
+                   this->reports.begin(), this->reports.end(),
+                   [now](const auto& entry) { return now - entry.second < report_max_age; }));
+}
+
 report_answer coordinator::state::make_answer(const host_report& report, time_point now) const {
     report_answer answer;
     answer.coordinating = this->leading;
     answer.pending = this->taking_over && !this->leading;
     answer.has_store = this->store_ok && this->store_reachable;
-    answer.hosts = 1 + static_cast<int>(std::count_if(
-                           this->reports.begin(), this->reports.end(), [now](const auto& entry) {
-                               return now - entry.second < report_max_age;
-                           }));
+    answer.hosts = this->live_hosts(now);
     if (!this->leading) {
         return answer;
     }
@@ -1166,6 +1353,12 @@
     if (this->is_settling(now)) {
         answer.store_outage_age = std::chrono::floor<milliseconds>(now - this->last_store_outage);
     }
+    if (this->knows_limits(now)) {
+        limits_update limits = this->current_limits();
+        if (!limits.limits.empty() || report.limits != 0) {
+            answer.limits = std::move(limits);
+        }
+    }
     if (this->can_relay_directory(report, now)) {
         answer.servers = this->servers.changes_since(report.servers, now);
         if (answer.servers) {
@@ -1233,6 +1426,13 @@
     if (report.servers < this->announced_version && this->can_relay_directory(report, now)) {
         return true;
     }
+    const bool limited =
+        std::any_of(this->managed.begin(), this->managed.end(),
+                    [](const auto& entry) { return !entry.second.limits.empty(); });
+    if ((limited || report.limits != 0) && this->knows_limits(now) &&
+        report.limits != this->limits_version) {
+        return true;
+    }
     return std::any_of(
         this->managed.begin(), this->managed.end(), [this, &report](const auto& entry) {
             const auto has = report.owners.find(entry.first);
--- a/libs/gateway/src/errors.cpp
+++ b/libs/gateway/src/errors.cpp
@@ -25,6 +25,7 @@
                 "the refusal does not state that the request has not run"},
     error_entry{1515, "shutting_down", "the process ends before the request could be answered"},
     error_entry{1516, "servers_paused", "the servers have asked for a pause that ends too late"},
+    error_entry{1517, "key_limited", "the key gets more requests than its server can run"},
 };
 
 }  // namespace
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -1,5 +1,6 @@
 #include "gateway/front.h"
 
+#include "admission/request_share.h"
 #include "admission/retry_budget.h"
 #include "gateway/errors.h"
 
@@ -60,6 +61,9 @@
 /// Time for which the notices of a server that is no longer registered are kept. An entry from an
 /// older copy of the store appears within seconds.
 constexpr milliseconds former_notices_retention = std::chrono::minutes{10};
+/// Time for which a limit holds after the coordinator has stated it last. A lost coordinator is
+/// replaced within it, and the next one learns the load.
+constexpr milliseconds max_limit_age{3'000};
 /// Minimum Retry-After of refused requests, before jitter.
 constexpr milliseconds min_retry_after{60};
 constexpr int ms_per_second = 1'000;
@@ -203,6 +207,13 @@
     std::string_view wait_reason;
 };
 
+/// A limit of hot keys, and what this host sends of the requests for them.
+struct limited_keys {
+    ranges::key_range keys;
+    admission::sent_fraction share;
+    time_point set_at;
+};
+
 /// State of one service: its servers, the owners of its key ranges and the queued requests.
 struct service_pool {
     std::map<server_id, server_state> servers;
@@ -214,6 +225,7 @@
     /// at which one request may probe the owner again, while the others wait. Otherwise the epoch.
     std::vector<time_point> next_probe_at;
     token_bucket move_retries;
+    std::vector<limited_keys> limits;
     std::list<request_handle> waiting;
     wire::timer_id dispatch_timer = 0;
     time_point dispatch_at;
@@ -233,6 +245,7 @@
     std::unordered_map<service_id, service_pool> services;
     std::map<service_id, std::vector<ranges::key_position>> seen_keys;
     std::map<service_id, std::map<server_id, service_time_sample>> service_times;
+    std::map<service_id, std::map<server_id, queue_sample>> queues;
     std::vector<ranges::server_instance> ended_servers;
     /// Notices of server instances that are not registered at the moment, and when they were
     /// removed. Their entries may come back, also from an older copy of the store.
@@ -249,6 +262,7 @@
     telemetry::counter left_count;
     telemetry::counter withheld_by_leaving;
     telemetry::counter withheld_by_pause;
+    telemetry::counter limited_count;
     telemetry::latency_histogram request_time;
 
     service_pool& service_of(const service_id& id, time_point now) {
@@ -283,6 +297,11 @@
     server_choice choose_server(const active_request& active, service_pool& pool, time_point now);
     server_choice choose_owner(const active_request& active, service_pool& pool, time_point now);
     bool try_send(const request_handle& active, service_pool& pool, time_point now);
+    static limited_keys* find_limit(const active_request& active, service_pool& pool,
+                                    time_point now);
+    bool is_urgent(const active_request& active) const;
+    bool refuse_if_limited(const request_handle& active, service_pool& pool, time_point now);
+    void record_queue(const active_request& active, const service_pool& pool, int waiting);
     void keep_notices(const server_state& server, time_point now);
     void note_statement(const request_handle& active, const wire::response& message,
                         time_point now);
@@ -337,6 +356,7 @@
                                {},
                                {},
                                {},
+                               {},
                                1,
                                std::nullopt,
                                {},
@@ -348,6 +368,7 @@
                                {},
                                {},
                                {},
+                               {},
                                {}}) {
     const auto make = [&metrics](std::string_view name, std::string_view help) {
         const auto made = metrics.add_counter(name, help);
@@ -367,6 +388,9 @@
     impl.withheld_by_pause = make("greengagechute_withheld_pause_total",
                                   "Requests that were not sent because their servers have asked "
                                   "for a pause.");
+    impl.limited_count = make("greengagechute_limited_total",
+                              "Requests refused because their key gets more than its server can "
+                              "run.");
     const auto histogram = metrics.add_latency("greengagechute_request_seconds",
                                                "Time from a request's arrival to its answer.");
     if (histogram) {
@@ -454,6 +478,31 @@
     return std::exchange(this->implementation->seen_keys, {});
 }
 
+void front::set_limits(const limits_update& update, time_point now) {
+    state& impl = *this->implementation;
+    for (auto& [id, pool] : impl.services) {
+        std::vector<limited_keys> next;
+        const auto found = update.limits.find(id);
+        if (found != update.limits.end()) {
+            for (const key_limit& limit : found->second) {
+                limited_keys added{limit.keys, {limit.fraction, impl.random_unit()}, now};
+                const auto known = std::find_if(
+                    pool.limits.begin(), pool.limits.end(),
+                    [&limit](const limited_keys& other) { return other.keys == limit.keys; });
+                if (known != pool.limits.end()) {
+                    added.share.credit = known->share.credit;
+                }
+                next.push_back(added);
+            }
+        }
+        pool.limits = std::move(next);
+    }
+}
+
+std::map<service_id, std::map<server_id, queue_sample>> front::take_queues() {
+    return std::exchange(this->implementation->queues, {});
+}
+
 std::map<service_id, std::map<server_id, service_time_sample>> front::take_service_times() {
     return std::exchange(this->implementation->service_times, {});
 }
@@ -600,6 +649,9 @@
         this->refuse(active, gateway_errc::shutting_down, now);
         return;
     }
+    if (this->refuse_if_limited(active, pool, now)) {
+        return;
+    }
     if (this->try_send(active, pool, now)) {
         return;
     }
@@ -783,6 +835,60 @@
            left;
 }
 
+/// The limit in force for the key of the request; nullptr if there is none.
+limited_keys* front::state::find_limit(const active_request& active, service_pool& pool,
+                                       time_point now) {
+    if (!active.divided) {
+        return nullptr;
+    }
+    const auto found =
+        std::find_if(pool.limits.begin(), pool.limits.end(), [&](const limited_keys& limit) {
+            return limit.keys.first <= active.key && active.key <= limit.keys.last &&
+                   now - limit.set_at < max_limit_age;
+        });
+    return found == pool.limits.end() ? nullptr : &*found;
+}
+
+/// Whether the service has routes with less urgent requests.
+bool front::state::is_urgent(const active_request& active) const {
+    return std::any_of(active.config->routes.begin(), active.config->routes.end(),
+                       [&active](const route& other) {
+                           return other.priority > active.matched_route->priority &&
+                                  std::any_of(other.services.begin(), other.services.end(),
+                                              [&active](const weighted_service& target) {
+                                                  return target.service == active.service;
+                                              });
+                       });
+}
+
+/// Refuses the request if it is beyond what this host sends of the requests for a hot key. Returns
+/// whether it was refused.
+bool front::state::refuse_if_limited(const request_handle& active, service_pool& pool,
+                                     time_point now) {
+    limited_keys* const limit = find_limit(*active, pool, now);
+    if (limit == nullptr || admission::take_next(limit->share, this->is_urgent(*active))) {
+        return false;
+    }
+    this->limited_count.add();
+    this->refuse(active, gateway_errc::key_limited, now);
+    return true;
+}
+
+/// Records the queue of a server that owns limited keys.
+void front::state::record_queue(const active_request& active, const service_pool& pool,
+                                int waiting) {
+    const bool owns_limited =
+        std::any_of(pool.limits.begin(), pool.limits.end(), [&](const limited_keys& limit) {
+            const ranges::server_instance* const owner = owner_of(pool.owners, limit.keys.first);
+            return owner != nullptr && owner->id == active.current_server;
+        });
+    if (owns_limited) {
+        queue_sample& sample = this->queues[active.service][active.current_server];
+        sample.sum += waiting;
+        ++sample.count;
+    }
+}
+
 /// Keeps the notices of a server instance that is removed or replaced.
 void front::state::keep_notices(const server_state& server, time_point now) {
     if (server.notices.leaving_since || is_pause_asked(server.notices, now)) {
@@ -1065,6 +1171,7 @@
                 wire::find_header(outcome.message.headers, this->names.load)) {
             if (const auto load = parse_load(*reported)) {
                 record_load(*server, *load, now);
+                this->record_queue(*active, pool, load->waiting);
             }
         }
     }
@@ -1342,12 +1449,16 @@
         this->fail(active, code::bad_gateway, gateway_errc::server_failed, now);
         return;
     }
-    const service_pool& pool = this->service_of(active->service, now);
+    service_pool& pool = this->service_of(active->service, now);
     const milliseconds min_delay =
         is_long_unowned(*active, pool, now) ? unowned_retry_after : min_retry_after;
     double wait_ms = std::max<double>(static_cast<double>(min_delay.count()),
-                                      this->estimated_wait_ms(*active, pool, now) / 2) *
-                     (1.0 + this->random_unit());
+                                      this->estimated_wait_ms(*active, pool, now) / 2);
+    if (reason == gateway_errc::key_limited) {
+        const limited_keys* const limit = find_limit(*active, pool, now);
+        wait_ms = static_cast<double>(admission::time_to_return(limit->share).count());
+    }
+    wait_ms *= 1.0 + this->random_unit();
     if (const auto end = this->pause_end(*active, pool, now)) {
         wait_ms += std::chrono::duration<double, std::milli>(*end - now).count();
     }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -142,6 +142,9 @@
         handlers.servers_relayed = [this](const directory_update& update) {
             this->on_relayed_servers(update);
         };
+        handlers.limits_changed = [this](const limits_update& update) {
+            this->frontend.set_limits(update, wire::event_loop::now());
+        };
         handlers.catalogue_named = [this](const store_version& version) {
             this->on_catalogue_named(version, wire::event_loop::now());
         };
@@ -158,6 +161,7 @@
             host_report local_report;
             local_report.keys = this->frontend.take_keys();
             local_report.speeds = this->frontend.take_service_times();
+            local_report.queues = this->frontend.take_queues();
             local_report.ended = this->frontend.take_ended_servers();
             local_report.leaving = this->frontend.leaving_servers();
             return local_report;
--- a/libs/gateway/src/reports.cpp
+++ b/libs/gateway/src/reports.cpp
@@ -13,6 +13,10 @@
 
 /// Logarithms of service times are sent in hundredths, as integers.
 constexpr double log_ms_scale = 100.0;
+/// Fractions are sent as integers.
+constexpr std::uint64_t fraction_scale = 10'000;
+/// Highest number of samples that is believed.
+constexpr std::int64_t max_samples = 1'000'000;
 /// Number of fields of an encoded change: removal of a server, and registration.
 constexpr std::size_t removal_fields = 2;
 constexpr std::size_t entry_fields = 10;
@@ -108,6 +112,58 @@
     return true;
 }
 
+bool decode_queues(const nlohmann::json& parsed, host_report& report) {
+    if (!parsed.is_object()) {
+        return false;
+    }
+    for (const auto& [service, servers] : parsed.items()) {
+        if (!servers.is_object()) {
+            return false;
+        }
+        for (const auto& [server, sample] : servers.items()) {
+            if (!sample.is_array() || sample.size() != 2 || !sample[0].is_number_unsigned() ||
+                !sample[1].is_number_unsigned()) {
+                return false;
+            }
+            report.queues[service_id(service)][server_id(server)] = {
+                sample[0].get<double>(), static_cast<int>(bounded(sample[1], max_samples))};
+        }
+    }
+    return true;
+}
+
+bool decode_limits(const nlohmann::json& parsed, limits_update& update) {
+    if (!parsed.is_object() || !parsed.contains("version") ||
+        !parsed["version"].is_number_unsigned() || !parsed.contains("services") ||
+        !parsed["services"].is_object()) {
+        return false;
+    }
+    update.version = parsed["version"].get<std::uint64_t>();
+    for (const auto& [service, limits] : parsed["services"].items()) {
+        if (!limits.is_array()) {
+            return false;
+        }
+        for (const nlohmann::json& row : limits) {
+            if (!row.is_array() || row.size() != 3 || !row[0].is_number_unsigned() ||
+                !row[1].is_number_unsigned() || !row[2].is_number_unsigned()) {
+                return false;
+            }
+            const auto first = row[0].get<std::uint64_t>();
+            const auto last = row[1].get<std::uint64_t>();
+            const auto fraction = row[2].get<std::uint64_t>();
+            if (last < first || last > ranges::last_key || fraction == 0 ||
+                fraction > fraction_scale) {
+                return false;
+            }
+            update.limits[service_id(service)].push_back(
+                {{static_cast<ranges::key_position>(first),
+                  static_cast<ranges::key_position>(last)},
+                 static_cast<double>(fraction) / fraction_scale});
+        }
+    }
+    return true;
+}
+
 }  // namespace
 
 std::string encode(const host_report& report) {
@@ -134,6 +190,15 @@
     for (const auto& [service, keys] : report.keys) {
         text["keys"][service.value()] = keys;
     }
+    if (report.limits != 0) {
+        text["limits"] = report.limits;
+    }
+    for (const auto& [service, servers] : report.queues) {
+        for (const auto& [server, sample] : servers) {
+            text["queues"][service.value()][server.value()] = {std::lround(sample.sum),
+                                                               sample.count};
+        }
+    }
     for (const auto& [service, servers] : report.speeds) {
         for (const auto& [server, sample] : servers) {
             // Hundredths are precise enough and keep the report short.
@@ -191,6 +256,12 @@
                 {server_id(life[0].get<std::string>()), life[1].get<std::uint64_t>()});
         }
     }
+    report.limits = number_or_zero(parsed, "limits");
+    if (const auto queues = parsed.find("queues"); queues != parsed.end()) {
+        if (!decode_queues(*queues, report)) {
+            return false;
+        }
+    }
     if (!parsed.contains("speeds")) {
         return true;
     }
@@ -227,6 +298,20 @@
         text["catalogue"] = answer.catalogue.number;
         text["catalogue_era"] = answer.catalogue.era;
     }
+    if (answer.limits) {
+        nlohmann::json& written = text["limits"];
+        written["version"] = answer.limits->version;
+        written["services"] = nlohmann::json::object();
+        for (const auto& [service, limits] : answer.limits->limits) {
+            for (const key_limit& limit : limits) {
+                written["services"][service.value()].push_back(
+                    {limit.keys.first, limit.keys.last,
+                     std::max<std::uint64_t>(
+                         1, static_cast<std::uint64_t>(std::lround(
+                                limit.fraction * static_cast<double>(fraction_scale))))});
+            }
+        }
+    }
     if (answer.servers) {
         nlohmann::json& written = text["servers"];
         written["version"] = answer.servers->version.number;
@@ -311,6 +396,9 @@
     }
     answer.catalogue = {number_or_zero(parsed, "catalogue_era"),
                         number_or_zero(parsed, "catalogue")};
+    if (parsed.contains("limits") && !decode_limits(parsed["limits"], answer.limits.emplace())) {
+        return false;
+    }
     if (parsed.contains("servers") &&
         !decode_directory_update(parsed["servers"], answer.servers.emplace())) {
         return false;
--- a/libs/gateway/tests/front_fixture.h
+++ b/libs/gateway/tests/front_fixture.h
@@ -96,6 +96,7 @@
             made.prefix = prefix;
             made.kind = kind;
             made.max_attempts = attempts;
+            made.priority = prefix == "/keys/" ? 1 : 0;
             made.timeout = milliseconds{2'000};
             made.services.push_back({service_id(service), 1});
             content->routes.push_back(made);
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -13,10 +13,13 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <cmath>
+#include <cstdlib>
 #include <functional>
 #include <iterator>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -242,6 +245,7 @@
         handlers.servers_relayed = [this](const gateway::directory_update& update) {
             this->relayed.push_back(update);
         };
+        handlers.limits_changed = [](const gateway::limits_update&) {};
         handlers.catalogue_named = [](const gateway::store_version&) {};
         handlers.store_era_changed = [](std::uint64_t) {};
         handlers.hosts_counted = [](int) {};
@@ -548,22 +552,40 @@
     report.host = gg::host_id("h1");
     report.keys[gg::service_id("s")] = {0, 7, 65'535};
     report.speeds[gg::service_id("s")][gg::server_id("i")] = {8.25, 2};
+    report.queues[gg::service_id("s")][gg::server_id("i")] = {17, 5};
+    report.limits = 9;
+    report.leaving = {{gg::server_id("j"), 4}};
     gateway::host_report read;
     BOOST_REQUIRE(decode(encode(report), read));
     BOOST_TEST(read.host.value() == "h1");
     BOOST_TEST(read.keys.at(gg::service_id("s")).size() == 3U);
     BOOST_TEST(read.speeds.at(gg::service_id("s")).at(gg::server_id("i")).sum_log_ms == 8.25);
     BOOST_TEST(read.speeds.at(gg::service_id("s")).at(gg::server_id("i")).count == 2);
+    BOOST_TEST(read.queues.at(gg::service_id("s")).at(gg::server_id("i")).sum == 17);
+    BOOST_TEST(read.queues.at(gg::service_id("s")).at(gg::server_id("i")).count == 5);
+    BOOST_TEST(read.limits == 9U);
+    BOOST_REQUIRE(read.leaving.size() == 1U);
+    BOOST_TEST(read.leaving.front().start_time_ms == 4U);
     gateway::report_answer answer;
     answer.term = 4;
     answer.store_outage_age = 1'200ms;
     answer.catalogue = {2, 31};
+    answer.limits = gateway::limits_update{
+        7, {{gg::service_id("s"), {{{8, 11}, 0.25}, {{65'532, 65'535}, 0.00001}}}}};
     answer.owners[gg::service_id("s")] = {
         3, true, {{{0, 9}, {gg::server_id("a"), 1}}, {{10, 65'535}, {gg::server_id("b"), 2}}}};
     gateway::report_answer read_answer;
     BOOST_REQUIRE(decode(encode(answer), read_answer));
     BOOST_CHECK(read_answer.store_outage_age == 1'200ms);
     BOOST_CHECK((read_answer.catalogue == gateway::store_version{2, 31}));
+    BOOST_REQUIRE(read_answer.limits.has_value());
+    BOOST_TEST(read_answer.limits->version == 7U);
+    const auto& limits = read_answer.limits->limits.at(gg::service_id("s"));
+    BOOST_REQUIRE(limits.size() == 2U);
+    BOOST_CHECK((limits[0].keys == ranges::key_range{8, 11}));
+    BOOST_TEST(limits[0].fraction == 0.25);
+    // A fraction of 0 would keep a key without service.
+    BOOST_TEST(limits[1].fraction == 0.0001);
     BOOST_TEST(read_answer.owners.at(gg::service_id("s")).version == 3U);
     BOOST_TEST(read_answer.owners.at(gg::service_id("s")).ranges[1].owner.id.value() == "b");
     gateway::server_entry entry;
@@ -647,11 +669,14 @@
     report.speeds[gg::service_id("s")][gg::server_id("a")] = {4.5, 3};
     report.ended.push_back({gg::server_id("a"), 7});
     report.owners[gg::service_id("s")] = 2;
+    report.limits = 3;
+    report.queues[gg::service_id("s")][gg::server_id("a")] = {12, 4};
     gateway::report_answer answer;
     answer.coordinating = true;
     answer.term = 3;
     answer.store_outage_age = 100ms;
     answer.catalogue = {1, 5};
+    answer.limits = gateway::limits_update{3, {{gg::service_id("s"), {{{8, 11}, 0.25}}}}};
     answer.owners[gg::service_id("s")] = {2, true, {{{0, 65'535}, {gg::server_id("a"), 7}}}};
     gateway::server_entry entry;
     entry.life = {gg::server_id("a"), 7};
@@ -867,6 +892,50 @@
     }
 }
 
+// Guards against requests for a hot key that overrun its owner or wait for their deadline: what is
+// beyond this host's part must be refused at once, with a time to return, and nothing else.
+BOOST_AUTO_TEST_CASE(requests_beyond_the_limit_of_a_key_are_refused_at_once) {
+    front_fixture test;
+    fake_server owner(test.loop, [](const std::shared_ptr<wire::incoming>& asked) {
+        reply(asked, 200, "", true);
+    });
+    test.add("s1", "keys", owner.address());
+    test.set_owner("s1");
+    const gateway::limits_update update{1, {{gg::service_id("keys"), {{{8, 11}, 0.25}}}}};
+    test.front->set_limits(update, wire::event_loop::now());
+    int served = 0;
+    constexpr int requests = 40;
+    for (int count = 0; count < requests; ++count) {
+        const gg::time_point before = wire::event_loop::now();
+        const auto result = test.ask("GET", "/keys/x", "1000", "9");
+        BOOST_CHECK(wire::event_loop::now() - before < 75ms);
+        if (result.message.code == 200) {
+            ++served;
+            continue;
+        }
+        BOOST_TEST(result.message.code == 503);
+        const std::string* back = wire::find_header(result.message.headers, "Retry-After");
+        BOOST_REQUIRE(back != nullptr);
+        BOOST_TEST(std::stod(*back) >= 0.45);
+        BOOST_TEST(std::stod(*back) <= 0.9);
+        // The limit is stated again and again.
+        test.front->set_limits(update, wire::event_loop::now());
+    }
+    BOOST_TEST(std::abs(served - requests / 4) <= 1);
+    BOOST_TEST(owner.requests == served);
+    BOOST_TEST(test.ask("GET", "/keys/x", "1000", "12").message.code == 200);
+    // A more urgent request is sent in advance of the next one.
+    test.front->set_limits({2, {{gg::service_id("keys"), {{{8, 11}, 0.0001}}}}},
+                           wire::event_loop::now());
+    BOOST_TEST(test.ask("GET", "/keys/x", "1000", "9").message.code == 503);
+    BOOST_TEST(test.ask("POST", "/unsafe-keys/x", "1000", "9").message.code == 200);
+    BOOST_TEST(test.ask("POST", "/unsafe-keys/x", "1000", "9").message.code == 503);
+    // Without a coordinator that states it again, the limit ends.
+    test.loop.call_after(3'100ms, [&test] { test.loop.stop(); });
+    test.loop.run();
+    BOOST_TEST(test.ask("GET", "/keys/x", "1000", "9").message.code == 200);
+}
+
 // Guards against a response of another request, or a copy that a server sends late, which reaches
 // the next caller because nothing in it tells whose answer it is.
 BOOST_AUTO_TEST_CASE(response_without_an_id_is_no_answer) {
@@ -1549,6 +1618,77 @@
     BOOST_TEST(after_outage);
 }
 
+// Guards against a hot key that hundreds of hosts send to its only owner: the coordinator, which
+// knows the demand of all, must limit it while it is hot and only then, and a new coordinator must
+// not end the limit before it knows the load.
+BOOST_AUTO_TEST_CASE(coordinator_limits_a_key_that_is_hot_through_many_hosts) {
+    coordination_fixture test;
+    test.add_host({});
+    test.run_for(1'500ms);
+    gateway::coordinator& part = *test.hosts.front()->part;
+    BOOST_REQUIRE(part.coordinating());
+    const gg::service_id service("keys");
+    constexpr int hosts = 20;
+    constexpr ranges::key_position hot_key = 9;
+    std::optional<gateway::limits_update> limits;
+    std::uint64_t known = 0;
+    const auto report_for = [&](gg::milliseconds time, int requests_of_each) {
+        const gg::time_point end = wire::event_loop::now() + time;
+        while (wire::event_loop::now() < end) {
+            for (int number = 0; number < hosts; ++number) {
+                gateway::host_report report;
+                report.host = gg::host_id("other-" + std::to_string(number));
+                report.at_once = true;
+                report.limits = known;
+                report.keys[service].assign(static_cast<std::size_t>(requests_of_each), hot_key);
+                for (const char* server : {"a", "b"}) {
+                    // About 70 ms a request, so one slot runs 10 to 15 requests a second.
+                    report.speeds[service][gg::server_id(server)] = {std::log(70.0), 1};
+                }
+                part.on_report(
+                    report,
+                    [&](const gateway::report_answer& answer) {
+                        if (answer.limits) {
+                            limits = answer.limits;
+                            known = answer.limits->limits.empty() ? 0 : answer.limits->version;
+                        }
+                    },
+                    wire::event_loop::now());
+            }
+            test.run_for(100ms);
+        }
+    };
+    report_for(500ms, 0);
+    BOOST_TEST(!limits.has_value());
+    // 200 requests a second.
+    report_for(1'500ms, 1);
+    BOOST_REQUIRE(limits.has_value());
+    BOOST_REQUIRE(limits->limits[service].size() == 1U);
+    BOOST_CHECK((limits->limits[service].front().keys == ranges::key_range{8, 11}));
+    BOOST_TEST(limits->limits[service].front().fraction < 0.12);
+    BOOST_TEST(limits->limits[service].front().fraction > 0.01);
+    report_for(2'500ms, 0);
+    BOOST_TEST(limits->limits.empty());
+
+    coordination_fixture next;
+    next.add_host({});
+    next.run_for(1'000ms);
+    BOOST_REQUIRE(next.hosts.front()->part->coordinating());
+    gateway::host_report report;
+    report.host = gg::host_id("other");
+    report.at_once = true;
+    report.limits = known == 0 ? 5 : known;
+    std::optional<gateway::report_answer> answer;
+    const auto keep = [&answer](const gateway::report_answer& given) { answer = given; };
+    next.hosts.front()->part->on_report(report, keep, wire::event_loop::now());
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(!answer->limits.has_value());
+    next.run_for(1'500ms);
+    next.hosts.front()->part->on_report(report, keep, wire::event_loop::now());
+    BOOST_REQUIRE(answer->limits.has_value());
+    BOOST_TEST(answer->limits->limits.empty());
+}
+
 // Guards against receiving a configuration seconds late after a network interruption: the answer to
 // a call made before it is delayed until TCP retransmits its packets.
 BOOST_AUTO_TEST_CASE(delayed_watch_answers_are_requested_again) {
