Limit only keys that are hot by more than a few requests

The coordinator counts requests over half a second. Change: a bucket is limited only from 12 requests/s upwards, six within the window.

--- a/libs/admission/include/admission/request_share.h
+++ b/libs/admission/include/admission/request_share.h
@@ -54,8 +54,8 @@
 };
 
 /// Whether all keys of the server together get more requests than it can run, its hottest bucket a
-/// large part of them, and the hosts cannot bound its queue by themselves: each may always have one
-/// request there.
+/// large part of them and not hot by chance, and the hosts cannot bound its queue by themselves:
+/// each may always have one request there.
 bool needs_limit(const owner_load& load);
 
 rate_limit make_rate_limit(const owner_load& load, time_point now);
--- a/libs/admission/src/request_share.cpp
+++ b/libs/admission/src/request_share.cpp
@@ -13,6 +13,9 @@
 /// A limit is worth its refusals only if one bucket alone takes this part of what the server can
 /// run; otherwise keys can move away from it.
 constexpr double min_hot_part = 0.5;
+/// Requests per second below which a key is not hot: the coordinator counts over half a second, and
+/// fewer than six requests in it may be chance.
+constexpr double min_hot_per_s = 12;
 /// Part of the sustainable rate that a new limit allows. Near the whole of it, queues grow long.
 constexpr double initial_part = 0.9;
 /// Bounds of the limit as parts of the sustainable rate, which is an estimate. The lower one leaves
@@ -57,7 +60,7 @@
 bool needs_limit(const owner_load& load) {
     const double sustainable = sustainable_rate(load);
     return load.hosts > max_outstanding_per_slot * load.slots && load.total_per_s > sustainable &&
-           load.hottest_per_s > min_hot_part * sustainable;
+           load.hottest_per_s > std::max(min_hot_per_s, min_hot_part * sustainable);
 }
 
 rate_limit make_rate_limit(const owner_load& load, time_point now) {
--- a/libs/admission/tests/request_share_test.cpp
+++ b/libs/admission/tests/request_share_test.cpp
@@ -307,6 +307,23 @@
     BOOST_TEST(result.in_aim > 0.85 * result.offered);
 }
 
+// Guards against keys of slow servers that are limited by chance: a server that runs one request a
+// second is overrun by any two requests, which no host can be told of in time.
+BOOST_AUTO_TEST_CASE(few_requests_are_no_hot_key) {
+    admission::owner_load load;
+    load.slots = 6;
+    load.hosts = 61;
+    load.service_ms = 6'000;
+    for (const double per_s : {2.0, 4.0, 8.0}) {
+        load.total_per_s = per_s;
+        load.hottest_per_s = per_s;
+        BOOST_TEST(!admission::needs_limit(load));
+    }
+    load.total_per_s = 20;
+    load.hottest_per_s = 20;
+    BOOST_TEST(admission::needs_limit(load));
+}
+
 // Guards against hosts that flood the owner again, or refuse for long, because the coordinator that
 // gave the fractions is lost while the key is hot.
 BOOST_AUTO_TEST_CASE(fractions_hold_while_the_coordinator_is_replaced) {
