Give no keys to servers whose registration has lapsed

After an outage of the store, a server whose entry is gone stays a candidate for 1.9 s, in which it may register again. The coordinator moved keys of leaving servers to such candidates, although they refused connections: 29 grants were not sent from 26.6 to 31 s, and the keys had no owner until the entries ended. Change: a candidate says whether its registration is in force. One that is not keeps its keys but gains none, by recovery or balance, while another server accepts; a chosen destination that lapses meanwhile is chosen anew. Ruled out: the other waits of that time are for keys of servers that had ended, whose leases run for 4 s; refused connections prove nothing so soon after an outage.

--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -1178,9 +1178,9 @@
         if (entry.service == service) {
             const bool stays = !entry.draining && !this->ended.contains(entry.life) &&
                                !this->leaving.contains(entry.life);
-            const bool steady = stays && !this->servers.awaits_reregistration(id) &&
-                                this->knows_leaving_servers(now);
-            candidates.push_back({entry.life, weight_of(own, entry), stays, steady});
+            const bool registered = !this->servers.awaits_reregistration(id);
+            const bool steady = stays && registered && this->knows_leaving_servers(now);
+            candidates.push_back({entry.life, weight_of(own, entry), stays, steady, registered});
         }
     }
     own.keeper.set_candidates(candidates, now);
--- a/libs/ranges/include/ranges/lease_manager.h
+++ b/libs/ranges/include/ranges/lease_manager.h
@@ -59,6 +59,9 @@
     /// Whether refused connections prove that the process has ended. True only while the server is
     /// registered and not leaving, and the store has been reachable for long enough to know this.
     bool refusal_is_conclusive = true;
+    /// Whether its registration is in force. A server whose registration has lapsed in an outage of
+    /// the store keeps its keys, but gets others only if all have lapsed.
+    bool registered = true;
 };
 
 /// Identifies a lease within its `lease_manager`.
--- a/libs/ranges/src/lease_manager.cpp
+++ b/libs/ranges/src/lease_manager.cpp
@@ -26,6 +26,10 @@
 /// of that of its present server.
 constexpr double max_load_ratio_after_move = 0.85;
 
+bool may_gain_keys(const candidate& server) {
+    return server.accepts && server.registered;
+}
+
 }  // namespace
 
 lease_manager::lease_manager(const lease_settings& initial, epoch first_fence)
@@ -330,7 +334,8 @@
             continue;
         }
         const double ratio = found->second / server.weight;
-        if (best == nullptr || ratio < best_ratio) {
+        if (best == nullptr || (server.registered && !best->registered) ||
+            (server.registered == best->registered && ratio < best_ratio)) {
             best = &server;
             best_ratio = ratio;
         }
@@ -410,7 +415,7 @@
             continue;
         }
         const candidate* restarted = this->find_restarted_instance(entry.owner);
-        if (restarted != nullptr && !restarted->accepts) {
+        if (restarted != nullptr && !may_gain_keys(*restarted)) {
             restarted = nullptr;
         }
         key_position first = entry.keys.first;
@@ -418,9 +423,10 @@
             lease piece;
             piece.keys = {first, entry.keys.last};
             const candidate* target = restarted;
-            if (entry.destination && this->find_candidate(*entry.destination) != nullptr &&
-                this->find_candidate(*entry.destination)->accepts) {
-                target = this->find_candidate(*entry.destination);
+            const candidate* const chosen =
+                entry.destination ? this->find_candidate(*entry.destination) : nullptr;
+            if (chosen != nullptr && may_gain_keys(*chosen)) {
+                target = chosen;
             }
             if (target == nullptr) {
                 target = this->least_loaded(server_loads);
@@ -562,11 +568,11 @@
         if (most_loaded == nullptr || ratio(server) > ratio(*most_loaded)) {
             most_loaded = &server;
         }
-        if (move_target == nullptr || ratio(server) < ratio(*move_target)) {
+        if (server.registered && (move_target == nullptr || ratio(server) < ratio(*move_target))) {
             move_target = &server;
         }
     }
-    if (most_loaded == nullptr || most_loaded == move_target ||
+    if (most_loaded == nullptr || move_target == nullptr || most_loaded == move_target ||
         ratio(*most_loaded) - ratio(*move_target) < min_ratio_difference ||
         (ratio(*most_loaded) < this->settings.overload_ratio &&
          ratio(*move_target) >
@@ -649,7 +655,7 @@
     const candidate* best = nullptr;
     double best_after = before * max_load_ratio_after_move;
     for (const candidate& server : this->candidates) {
-        if (server.accepts && server.instance != from.instance) {
+        if (may_gain_keys(server) && server.instance != from.instance) {
             const double after = (server_loads.at(server.instance) + hot) / server.weight;
             if (after < best_after) {
                 best = &server;
--- a/libs/ranges/tests/ranges_test.cpp
+++ b/libs/ranges/tests/ranges_test.cpp
@@ -446,6 +446,51 @@
     }
 }
 
+// Guards against keys of a leaving server that go to servers which may have ended: after an outage
+// of the store, those that have not registered again are still candidates for two seconds.
+BOOST_AUTO_TEST_CASE(keys_do_not_move_to_servers_whose_registration_has_lapsed) {
+    for (const bool lapses_during_release : {false, true}) {
+        fixture setup(servers({"leaving", "lapsed", "busy"}));
+        auto candidates = servers({"leaving", "lapsed", "busy"});
+        ranges::range_table table;
+        for (ranges::key_position key = 0; key < 65'536; key += 16) {
+            if (owner(setup.manager, key, table).id.value() != "lapsed") {
+                setup.load.add(key);
+            }
+        }
+        candidates[0].accepts = false;
+        candidates[1].registered = lapses_during_release;
+        setup.manager.set_candidates(candidates, setup.now);
+        candidates[1].registered = false;
+        for (int step = 0; step < 40; ++step) {
+            setup.manager.balance(setup.load, setup.now);
+            setup.commit();
+            if (step > 0) {
+                setup.manager.set_candidates(candidates, setup.now);
+            }
+            setup.answer_all(ranges::command_outcome::done);
+            setup.now += 50ms;
+        }
+        table = setup.manager.table();
+        const ranges::range_table first =
+            fixture(servers({"leaving", "lapsed", "busy"})).manager.table();
+        for (const ranges::range_owner& entry : table.ranges) {
+            const std::string& before = ranges::owner_of(first, entry.keys.first)->id.value();
+            BOOST_TEST(entry.owner.id.value() == (before == "leaving" ? "busy" : before));
+        }
+        // If all have lapsed, one that may have ended is better than none.
+        candidates[2].accepts = false;
+        setup.manager.set_candidates(candidates, setup.now);
+        for (int step = 0; step < 10; ++step) {
+            setup.commit();
+            setup.answer_all(ranges::command_outcome::done);
+            setup.now += 50ms;
+        }
+        BOOST_TEST(owner(setup.manager, 0, table).id.value() == "lapsed");
+        BOOST_TEST(owner(setup.manager, ranges::last_key, table).id.value() == "lapsed");
+    }
+}
+
 // Guards against an unanswered grant that takes effect late, after its range was released and
 // reassigned.
 BOOST_AUTO_TEST_CASE(release_waits_for_an_unanswered_grant) {
