Handle attempts without an answer in one place in the front

Cause: the handling of an answer that names no request and of a refusal without proof repeated that of a lost answer, line for line; spans were turned into milliseconds in seven places. Change: on_no_answer, note_no_response and to_ms serve all of them. Behaviour stays as it is.

--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -68,6 +68,11 @@
 constexpr milliseconds min_retry_after{60};
 constexpr int ms_per_second = 1'000;
 
+template <typename rep, typename period>
+double to_ms(std::chrono::duration<rep, period> span) {
+    return std::chrono::duration<double, std::milli>(span).count();
+}
+
 /// Whether a caller takes the status for a promise that its request has not run.
 bool promises_not_run(int status) {
     return status == code::request_timeout || status == code::misdirected ||
@@ -325,6 +330,9 @@
     void on_result(const request_handle& active, wire::call_result outcome);
     void on_response(const request_handle& active, wire::response message, time_point now);
     void on_not_run(const request_handle& active, int status, time_point now);
+    void note_no_response(server_state* server, time_point now);
+    void on_no_answer(const request_handle& active, server_state* server, const status& error,
+                      time_point now);
     void on_failure(const request_handle& active, const status& error, time_point now);
     bool has_useful_time(const active_request& active, time_point now);
     bool take_retry(const active_request& active, time_point now);
@@ -830,7 +838,7 @@
 /// Whether the request could probably not be answered in time even if it were queued now.
 bool front::state::would_miss_deadline(const active_request& active, const service_pool& pool,
                                        time_point now) const {
-    const double left = std::chrono::duration<double, std::milli>(active.answer_by - now).count();
+    const double left = to_ms(active.answer_by - now);
     return this->estimated_wait_ms(active, pool, now) + pool.latency_ms * min_useful_time_ratio >
            left;
 }
@@ -994,9 +1002,6 @@
     if (!end) {
         return false;
     }
-    const auto to_ms = [](auto span) {
-        return std::chrono::duration<double, std::milli>(span).count();
-    };
     if (to_ms(active->answer_by - *end) >= pool.latency_ms * min_useful_time_ratio &&
         !this->is_cut_by_shutdown(*active, pool, to_ms(*end - now), now)) {
         return false;
@@ -1012,7 +1017,7 @@
     if (!this->ends_at || *this->ends_at >= active.answer_by) {
         return false;
     }
-    const double left = std::chrono::duration<double, std::milli>(*this->ends_at - now).count();
+    const double left = to_ms(*this->ends_at - now);
     const double latency =
         pool.latency_ms > 0 ? pool.latency_ms : this->settings.balancer.initial_latency_ms;
     return wait_ms + latency * min_shutdown_time_ratio > left;
@@ -1100,6 +1105,23 @@
     }
 }
 
+/// @param server  nullptr if it is no longer registered
+void front::state::note_no_response(server_state* server, time_point now) {
+    if (server != nullptr) {
+        const time_point before = server->paused_until;
+        record_no_response(*server, this->settings.balancer, now);
+        this->log_pause(*server, before, now);
+    }
+}
+
+/// Handles an attempt that reached its server and brought nothing that counts as an answer.
+void front::state::on_no_answer(const request_handle& active, server_state* server,
+                                const status& error, time_point now) {
+    this->note_no_response(server, now);
+    active->may_have_run = true;
+    this->on_failure(active, error, now);
+}
+
 void front::state::on_result(const request_handle& active, wire::call_result outcome) {
     const time_point now = wire::event_loop::now();
     this->release_server(active);
@@ -1112,11 +1134,7 @@
     if (outcome.error && !outcome.sent) {
         this->log.add(active->trail, telemetry::level::warning, "server_unreachable",
                       {{"server", active->current_server.value()}, {"error", outcome.error}});
-        if (server != nullptr) {
-            const time_point before = server->paused_until;
-            record_no_response(*server, this->settings.balancer, now);
-            this->log_pause(*server, before, now);
-        }
+        this->note_no_response(server, now);
         active->tried_servers.insert(active->current_server);
         if (++active->unreachable_attempts >= max_unreachable_attempts) {
             this->refuse(active, gateway_errc::attempts_spent, now);
@@ -1133,13 +1151,7 @@
             // The answer was cut after its head.
             this->note_statement(active, outcome.message, now);
         }
-        if (server != nullptr) {
-            const time_point before = server->paused_until;
-            record_no_response(*server, this->settings.balancer, now);
-            this->log_pause(*server, before, now);
-        }
-        active->may_have_run = true;
-        this->on_failure(active, outcome.error, now);
+        this->on_no_answer(active, server, outcome.error, now);
         return;
     }
     const bool not_run = wire::find_header(outcome.message.headers, this->names.not_run) != nullptr;
@@ -1154,13 +1166,8 @@
         wire::find_header(outcome.message.headers, this->names.request_id) != nullptr;
     if (!identified) {
         // The server may have repeated its response to an earlier request.
-        if (server != nullptr) {
-            const time_point before = server->paused_until;
-            record_no_response(*server, this->settings.balancer, now);
-            this->log_pause(*server, before, now);
-        }
-        active->may_have_run = true;
-        this->on_failure(active, make_error_code(gateway_errc::unidentified_response), now);
+        this->on_no_answer(active, server, make_error_code(gateway_errc::unidentified_response),
+                           now);
         return;
     }
     if (!replaced) {
@@ -1193,13 +1200,7 @@
     }
     if (promises_not_run(outcome.message.code)) {
         // Only the server's statement proves that it has not run the request.
-        if (server != nullptr) {
-            const time_point before = server->paused_until;
-            record_no_response(*server, this->settings.balancer, now);
-            this->log_pause(*server, before, now);
-        }
-        active->may_have_run = true;
-        this->on_failure(active, make_error_code(gateway_errc::unproved_refusal), now);
+        this->on_no_answer(active, server, make_error_code(gateway_errc::unproved_refusal), now);
         return;
     }
     if (active->divided && !pool.owners.ranges.empty()) {
@@ -1218,7 +1219,7 @@
         this->log_pause(*server, before, now);
     }
     if (!failed) {
-        const double ms = std::chrono::duration<double, std::milli>(took).count();
+        const double ms = to_ms(took);
         if (server != nullptr && active->divided && server->has_reported &&
             server->reported.waiting == 0) {
             // If nothing queues at the server, the latency is service time plus network time.
@@ -1328,7 +1329,7 @@
 /// Whether an attempt started now may still be answered before the deadline.
 bool front::state::has_useful_time(const active_request& active, time_point now) {
     const service_pool& pool = this->service_of(active.service, now);
-    const double left = std::chrono::duration<double, std::milli>(active.answer_by - now).count();
+    const double left = to_ms(active.answer_by - now);
     return left > pool.latency_ms * min_useful_time_ratio &&
            !this->is_cut_by_shutdown(active, pool, 0, now);
 }
@@ -1429,8 +1430,7 @@
             next = pool.waiting.erase(next);
             continue;
         }
-        const double left =
-            std::chrono::duration<double, std::milli>(active->answer_by - now).count();
+        const double left = to_ms(active->answer_by - now);
         if (left < pool.latency_ms * min_useful_time_ratio) {
             next = pool.waiting.erase(next);
             this->refuse(active, gateway_errc::not_run_in_time, now);
@@ -1460,7 +1460,7 @@
     }
     wait_ms *= 1.0 + this->random_unit();
     if (const auto end = this->pause_end(*active, pool, now)) {
-        wait_ms += std::chrono::duration<double, std::milli>(*end - now).count();
+        wait_ms += to_ms(*end - now);
     }
     this->log.add(
         active->trail, telemetry::level::warning, "request_refused",
