Compute the mean speed and the live hosts once a pass in the coordinator

Cause: the limits of hot keys counted the hosts and averaged the speeds of all servers anew for each server, as did the weights of servers; two checks for limits in force and three for the end of a bucket of keys were written out. Change: mean_log_ms, has_limits and ranges::bucket_keys; both values are taken once a pass. The mean of servers without a speed may differ in its last bit, as the sum is divided at the end.

--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -274,6 +274,7 @@
     void update_limits(time_point now);
     bool update_limits(const service_id& service, managed_service& own, time_point now);
     bool knows_limits(time_point now) const;
+    bool has_limits() const;
     int live_hosts(time_point now) const;
     limits_update current_limits() const;
     void adopt_owners(const service_id& service, managed_service& own, time_point now);
@@ -958,37 +959,39 @@
     }
 }
 
-/// Relative share of the load for a server: its slots, weighted by its relative speed if measured.
-double weight_of(const managed_service& own, const server_entry& entry) {
-    const auto slots = static_cast<double>(std::max(1, entry.slots));
-    const auto speed = own.speeds.find(entry.life.id);
-    if (speed == own.speeds.end()) {
-        return slots;
+/// Mean logarithm of the service times of all servers in milliseconds; empty if none is known.
+std::optional<double> mean_log_ms(const managed_service& own) {
+    if (own.speeds.empty()) {
+        return std::nullopt;
     }
     double sum = 0;
     for (const auto& [server, log_ms] : own.speeds) {
         sum += log_ms;
     }
-    const double mean = sum / static_cast<double>(own.speeds.size());
+    return sum / static_cast<double>(own.speeds.size());
+}
+
+/// Relative share of the load for a server: its slots, weighted by its relative speed if measured.
+/// @param mean  `mean_log_ms` of the service
+double weight_of(const managed_service& own, std::optional<double> mean,
+                 const server_entry& entry) {
+    const auto slots = static_cast<double>(std::max(1, entry.slots));
+    const auto speed = own.speeds.find(entry.life.id);
+    if (speed == own.speeds.end() || !mean) {
+        return slots;
+    }
     return slots *
-           std::clamp(std::exp(mean - speed->second), min_relative_speed, max_relative_speed);
+           std::clamp(std::exp(*mean - speed->second), min_relative_speed, max_relative_speed);
 }
 
 /// Mean service time of a server in milliseconds, or that of all servers if it is not known; 0 if
 /// none is known.
-double service_ms_of(const managed_service& own, const server_id& server) {
-    double log_ms = 0;
+/// @param mean  `mean_log_ms` of the service
+double service_ms_of(const managed_service& own, std::optional<double> mean,
+                     const server_id& server) {
     const auto speed = own.speeds.find(server);
-    if (speed != own.speeds.end()) {
-        log_ms = speed->second;
-    } else if (own.speeds.empty()) {
-        return 0;
-    } else {
-        for (const auto& [id, each] : own.speeds) {
-            log_ms += each / static_cast<double>(own.speeds.size());
-        }
-    }
-    return std::exp(log_ms) * mean_to_geometric_mean;
+    const std::optional<double> log_ms = speed != own.speeds.end() ? speed->second : mean;
+    return log_ms ? std::exp(*log_ms) * mean_to_geometric_mean : 0;
 }
 
 /// Decides the limits of hot keys, and tells the hosts at once if one begins or ends.
@@ -1033,12 +1036,16 @@
         }
         owner.hottest = hottest.per_s > owner.hottest.per_s ? hottest : owner.hottest;
     }
+    const int hosts = this->live_hosts(now);
+    const std::optional<double> mean = mean_log_ms(own);
     const auto load_of = [&](const server_id& server) {
-        admission::owner_load load = owners[server].load;
+        const auto owner = owners.find(server);
+        admission::owner_load load =
+            owner != owners.end() ? owner->second.load : admission::owner_load{};
         const server_entry* const entry = this->servers.find(server);
         load.slots = entry != nullptr ? std::max(1, entry->slots) : 1;
-        load.service_ms = service_ms_of(own, server);
-        load.hosts = this->live_hosts(now);
+        load.service_ms = service_ms_of(own, mean, server);
+        load.hosts = hosts;
         const auto queue = own.queues.find(server);
         load.waiting = queue != own.queues.end() && queue->second.count > 0
                            ? queue->second.sum / queue->second.count
@@ -1055,7 +1062,7 @@
             telemetry::log_info(this->log, "key_limit_ended",
                                 {{"service", service.value()},
                                  {"first", limit->first},
-                                 {"last", limit->first + ranges::keys_per_bucket - 1},
+                                 {"last", ranges::bucket_keys(limit->first).last},
                                  {"demand", load.hottest_per_s}});
             limit = own.limits.erase(limit);
             changed = true;
@@ -1079,7 +1086,7 @@
         telemetry::log_info(this->log, "key_limited",
                             {{"service", service.value()},
                              {"first", owner.hottest.first},
-                             {"last", owner.hottest.first + ranges::keys_per_bucket - 1},
+                             {"last", ranges::bucket_keys(owner.hottest.first).last},
                              {"server", server.value()},
                              {"demand", load.hottest_per_s},
                              {"allowed", limit.rate.per_s},
@@ -1092,7 +1099,11 @@
 /// Whether this coordinator has known the load for long enough to say that there are no limits.
 bool coordinator::state::knows_limits(time_point now) const {
     return now - this->coordinating_since > this->settings.limit_learning_time ||
-           std::any_of(this->managed.begin(), this->managed.end(),
+           this->has_limits();
+}
+
+bool coordinator::state::has_limits() const {
+    return std::any_of(this->managed.begin(), this->managed.end(),
                        [](const auto& entry) { return !entry.second.limits.empty(); });
 }
 
@@ -1101,8 +1112,7 @@
     update.version = this->limits_version;
     for (const auto& [service, own] : this->managed) {
         for (const auto& [first, limit] : own.limits) {
-            update.limits[service].push_back(
-                {{first, first + ranges::keys_per_bucket - 1}, limit.fraction});
+            update.limits[service].push_back({ranges::bucket_keys(first), limit.fraction});
         }
     }
     return update;
@@ -1173,6 +1183,7 @@
             own.keeper.set_instance_ended(entry.life, now);
         }
     }
+    const std::optional<double> mean = mean_log_ms(own);
     std::vector<ranges::candidate> candidates;
     for (const auto& [id, entry] : this->servers.servers()) {
         if (entry.service == service) {
@@ -1180,7 +1191,8 @@
                                !this->leaving.contains(entry.life);
             const bool registered = !this->servers.awaits_reregistration(id);
             const bool steady = stays && registered && this->knows_leaving_servers(now);
-            candidates.push_back({entry.life, weight_of(own, entry), stays, steady, registered});
+            candidates.push_back(
+                {entry.life, weight_of(own, mean, entry), stays, steady, registered});
         }
     }
     own.keeper.set_candidates(candidates, now);
@@ -1426,10 +1438,7 @@
     if (report.servers < this->announced_version && this->can_relay_directory(report, now)) {
         return true;
     }
-    const bool limited =
-        std::any_of(this->managed.begin(), this->managed.end(),
-                    [](const auto& entry) { return !entry.second.limits.empty(); });
-    if ((limited || report.limits != 0) && this->knows_limits(now) &&
+    if ((this->has_limits() || report.limits != 0) && this->knows_limits(now) &&
         report.limits != this->limits_version) {
         return true;
     }
--- a/libs/ranges/include/ranges/key_load.h
+++ b/libs/ranges/include/ranges/key_load.h
@@ -12,6 +12,11 @@
 inline constexpr std::uint32_t keys_per_bucket = 4;
 inline constexpr std::size_t bucket_count = (last_key + 1) / keys_per_bucket;
 
+/// The keys of a bucket, by its first one.
+constexpr key_range bucket_keys(key_position first) {
+    return {first, first + keys_per_bucket - 1};
+}
+
 /// Covers a few hundred requests of one server and still follows the hot keys, which change within
 /// seconds.
 inline constexpr milliseconds default_load_decay{3'000};
