Read samples of queues and speeds by one function

Cause: decode_queues repeated the loop that reads the samples of speeds. Change: decode_samples reads both; queues still need an unsigned sum.

--- a/libs/gateway/src/reports.cpp
+++ b/libs/gateway/src/reports.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <utility>
 
 namespace greengagechute::gateway {
@@ -112,7 +114,14 @@
     return true;
 }
 
-bool decode_queues(const nlohmann::json& parsed, host_report& report) {
+/// Reads samples, each a sum and a count, by service and server.
+/// @param make  returns the sample for a sum (an integer) and a count (unsigned); empty if they are
+///              out of range
+/// @return      whether all are well formed
+template <typename sample_type, typename make_sample>
+bool decode_samples(const nlohmann::json& parsed,
+                    std::map<service_id, std::map<server_id, sample_type>>& samples,
+                    const make_sample& make) {
     if (!parsed.is_object()) {
         return false;
     }
@@ -121,12 +130,15 @@
             return false;
         }
         for (const auto& [server, sample] : servers.items()) {
-            if (!sample.is_array() || sample.size() != 2 || !sample[0].is_number_unsigned() ||
+            if (!sample.is_array() || sample.size() != 2 || !sample[0].is_number_integer() ||
                 !sample[1].is_number_unsigned()) {
                 return false;
             }
-            report.queues[service_id(service)][server_id(server)] = {
-                sample[0].get<double>(), static_cast<int>(bounded(sample[1], max_samples))};
+            const std::optional<sample_type> read = make(sample[0], sample[1]);
+            if (!read) {
+                return false;
+            }
+            samples[service_id(service)][server_id(server)] = *read;
         }
     }
     return true;
@@ -257,31 +269,20 @@
         }
     }
     report.limits = number_or_zero(parsed, "limits");
-    if (const auto queues = parsed.find("queues"); queues != parsed.end()) {
-        if (!decode_queues(*queues, report)) {
-            return false;
-        }
-    }
-    if (!parsed.contains("speeds")) {
-        return true;
-    }
-    if (!parsed["speeds"].is_object()) {
-        return false;
-    }
-    for (const auto& [service, servers] : parsed["speeds"].items()) {
-        if (!servers.is_object()) {
-            return false;
-        }
-        for (const auto& [server, sample] : servers.items()) {
-            if (!sample.is_array() || sample.size() != 2 || !sample[0].is_number_integer() ||
-                !sample[1].is_number_unsigned()) {
-                return false;
-            }
-            report.speeds[service_id(service)][server_id(server)] = {
-                sample[0].get<double>() / log_ms_scale, sample[1].get<int>()};
-        }
-    }
-    return true;
+    const auto make_queue = [](const nlohmann::json& sum, const nlohmann::json& count) {
+        return sum.is_number_unsigned()
+                   ? std::optional(queue_sample{sum.get<double>(),
+                                                static_cast<int>(bounded(count, max_samples))})
+                   : std::nullopt;
+    };
+    const auto make_speed = [](const nlohmann::json& sum, const nlohmann::json& count) {
+        return std::optional(
+            service_time_sample{sum.get<double>() / log_ms_scale, count.get<int>()});
+    };
+    return (!parsed.contains("queues") ||
+            decode_samples(parsed["queues"], report.queues, make_queue)) &&
+           (!parsed.contains("speeds") ||
+            decode_samples(parsed["speeds"], report.speeds, make_speed));
 }
 
 std::string encode(const report_answer& answer) {
