State the requests that a slot bears in one place

Cause: the condition for a limit of hot keys is that the hosts' own limits cannot bound the queue. It repeated their factor of four, and would not have followed a change of it. Change: both use admission::max_outstanding_per_slot.

--- a/libs/admission/include/admission/request_share.h
+++ b/libs/admission/include/admission/request_share.h
@@ -13,6 +13,9 @@
 /// fraction of them to send. A fraction needs no knowledge of the single host's demand, and holds
 /// for ten hosts as for a thousand.
 
+/// Requests per slot that a server runs and queues without harm.
+inline constexpr double max_outstanding_per_slot = 4;
+
 /// What a host sends of the requests for a hot key.
 struct sent_fraction {
     /// In (0, 1].
--- a/libs/admission/src/request_share.cpp
+++ b/libs/admission/src/request_share.cpp
@@ -8,8 +8,6 @@
 namespace {
 
 constexpr double ms_per_second = 1'000;
-/// Requests per slot that a server runs and queues without harm.
-constexpr double max_outstanding_per_slot = 4;
 /// A limit is worth its refusals only if one bucket alone takes this part of what the server can
 /// run; otherwise keys can move away from it.
 constexpr double min_hot_part = 0.5;
--- a/libs/gateway/include/gateway/balancer.h
+++ b/libs/gateway/include/gateway/balancer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/request_share.h"
 #include "base/time.h"
 #include "gateway/directory.h"
 #include "gateway/server_notices.h"
@@ -38,7 +39,7 @@
     /// Maximum number of outstanding requests of all hosts together at a server, per slot. A server
     /// queues a few times as many requests as it has slots; some servers never answer requests
     /// beyond that.
-    double max_outstanding_per_slot = 4.0;
+    double max_outstanding_per_slot = admission::max_outstanding_per_slot;
     /// A reported load is used up to this age. Servers respond, and so report, several times a
     /// second.
     milliseconds max_load_age{300};
