--- a/libs/gateway/tests/host_test.cpp
+++ b/libs/gateway/tests/host_test.cpp
@@ -199,6 +199,16 @@
                     });
     }
 
+    /// Starts the host beside a server that takes 1 s, and lets the host measure that.
+    void start_measured_host(wire::client& caller) {
+        this->add_plain_server(1s);
+        this->start_host();
+        this->run_for(300ms);
+        this->post(caller, "first");
+        this->run_for(1'200ms);
+        BOOST_REQUIRE(this->statuses["first"] == 200);
+    }
+
     /// The store forgets the calls that wait for changes, without a word to the caller.
     void drop_pending_watches() {
         this->store.drops_watches = true;
@@ -318,14 +328,8 @@
 BOOST_AUTO_TEST_CASE(stopping_host_starts_no_request_that_it_would_cut) {
     host_fixture test;
     test.settings.shutdown_grace = 4s;
-    test.add_plain_server(1s);
-    test.start_host();
-    test.run_for(300ms);
     wire::client callers(test.loop, {});
-    // The host has measured how long the server takes.
-    test.post(callers, "first");
-    test.run_for(1'200ms);
-    BOOST_REQUIRE(test.statuses["first"] == 200);
+    test.start_measured_host(callers);
     // More than the server gets at once: some wait in the host.
     constexpr int requests = 60;
     for (int count = 0; count < requests; ++count) {
@@ -349,13 +353,8 @@
 BOOST_AUTO_TEST_CASE(stopping_host_leaves_late_requests_unread) {
     host_fixture test;
     test.settings.shutdown_grace = 6s;
-    test.add_plain_server(1s);
-    test.start_host();
-    test.run_for(300ms);
     wire::client caller(test.loop, {});
-    test.post(caller, "early");
-    test.run_for(1'200ms);
-    BOOST_REQUIRE(test.statuses["early"] == 200);
+    test.start_measured_host(caller);
     test.host->drain();
     test.run_for(2'400ms);
     // Keeps the host busy until 3.4 s after the beginning of its stop.
--- a/libs/wire/include/wire/client.h
+++ b/libs/wire/include/wire/client.h
@@ -72,9 +72,8 @@
 /// reset, so that nothing of the request arrives later than the packets that are on their way.
 class client {
 public:
-    /// @param mode  how connections without a call are closed. With `abortive`, nothing of a
-    /// request
-    ///              arrives late also if this process is killed.
+    /// @param mode  how connections without a call are closed; with `abortive`, nothing of a
+    ///              request arrives late, also if this process is killed
     client(event_loop& loop, idle_limits limits, response_limits bounds = {},
            close_mode mode = close_mode::orderly);
     client(const client&) = delete;
