review: a new leader hands on the keys of a busy server that resets connections

Cause: a registered server that refuses connections for 100 ms counts as ended, also if it only resets new connections because its queue is long.

--- a/review/common/standin.cc
+++ b/review/common/standin.cc
@@ -62,6 +62,30 @@
     return text;
 }
 
+std::string from_base64(const std::string& text) {
+    std::string bytes;
+    unsigned group = 0;
+    int bits = 0;
+    for (const char c : text) {
+        const int digit = c >= 'A' && c <= 'Z'   ? c - 'A'
+                          : c >= 'a' && c <= 'z' ? c - 'a' + 26
+                          : c >= '0' && c <= '9' ? c - '0' + 52
+                          : c == '+'             ? 62
+                          : c == '/'             ? 63
+                                                 : -1;
+        if (digit < 0) {
+            break;
+        }
+        group = group << 6U | static_cast<unsigned>(digit);
+        bits += 6;
+        if (bits >= 8) {
+            bits -= 8;
+            bytes += static_cast<char>(group >> static_cast<unsigned>(bits) & 255U);
+        }
+    }
+    return bytes;
+}
+
 std::string parameter(const std::string& target, const std::string& name) {
     const std::size_t begin = target.find(name + "=");
     if (begin == std::string::npos) {
@@ -243,7 +267,7 @@
     return std::make_shared<connection>(fd);
 }
 
-listener::listener(int port, handler made) : on_connection(std::move(made)) {
+void listener::open_socket(int port) {
     this->fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int on = 1;
     ::setsockopt(this->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
@@ -255,10 +279,24 @@
     }
     ::getsockname(this->fd, reinterpret_cast<sockaddr*>(&address), &size);
     this->bound = ntohs(address.sin_port);
+}
+
+listener::listener(int port, handler made) : on_connection(std::move(made)) {
+    this->open_socket(port);
     this->accepting = std::thread([this] {
         while (!this->stopped) {
+            if (this->closed) {
+                if (this->fd >= 0) {
+                    ::close(std::exchange(this->fd, -1));
+                }
+                sleep_for(milliseconds{2});
+                continue;
+            }
+            if (this->fd < 0) {
+                this->open_socket(this->bound);
+            }
             pollfd waiting{this->fd, POLLIN, 0};
-            if (::poll(&waiting, 1, 50) <= 0) {
+            if (::poll(&waiting, 1, 2) <= 0) {
                 continue;
             }
             const int made_fd = ::accept4(this->fd, nullptr, nullptr, SOCK_CLOEXEC);
@@ -282,7 +320,9 @@
         return;
     }
     this->accepting.join();
-    ::close(this->fd);
+    if (this->fd >= 0) {
+        ::close(this->fd);
+    }
     const std::lock_guard guard(this->lock);
     for (const auto& one : this->open) {
         if (const auto still = one.lock()) {
@@ -382,18 +422,25 @@
     this->changed.notify_all();
 }
 
+std::string store::get(const std::string& table, const std::string& key) {
+    const std::lock_guard guard(this->lock);
+    const auto found = this->rows.find({table, key});
+    return found == this->rows.end() || found->second.removed ? ""
+                                                              : from_base64(found->second.value);
+}
+
 gateway::gateway(const std::string& folder, int id, int store_port)
     : settings(folder + "/gateway-" + std::to_string(id) + ".conf"),
       log(folder + "/gateway-" + std::to_string(id) + ".log"),
       front(free_port()),
-      readiness(free_port()) {
-    const int peers = free_port();
+      readiness(free_port()),
+      peers(free_port()) {
     std::ofstream file(this->settings);
     file << "nodeName=front-a-" << id << "\nrole=gateway\nmachineClass=front\nserves=front\n"
          << "ip=127.0.0.1\nzone=a\nregion=north\nzones.a=north\n"
          << "listen.front=127.0.0.1:" << this->front
-         << "\nlisten.readyAddr=127.0.0.1:" << this->readiness << "\ninternalPorts=" << peers << ","
-         << peers << "\nbootstrap=true\nlimits.cpuShare=0.2\nlimits.cores=1\n"
+         << "\nlisten.readyAddr=127.0.0.1:" << this->readiness << "\ninternalPorts=" << this->peers
+         << "," << this->peers << "\nbootstrap=true\nlimits.cpuShare=0.2\nlimits.cores=1\n"
          << "limits.memoryMb=260\nlimits.maxFds=4100\nlimits.linkMbps=1000.0\nheartbeatS=1.5\n"
          << "bounds.stableWindowS=3\nbounds.drainS=2\nbounds.graceS=6\nbounds.lossSlackS=0.2\n"
          << "bounds.configApplyS=2\nbounds.retryBudgetRatio=0.2\nbounds.budgetWindowS=10\n"
@@ -478,11 +525,11 @@
     return true;
 }
 
-keyed_server::keyed_server(std::string own_id, std::string own_service, milliseconds time,
+keyed_server::keyed_server(std::string own_id, std::string own_service, limits own_bounds,
                            recorder& lines)
     : id(std::move(own_id)),
       service(std::move(own_service)),
-      work(time),
+      bounds(own_bounds),
       record(lines),
       start_time(unix_ms()) {
     this->server = std::make_unique<listener>(
@@ -572,29 +619,59 @@
             return one.first <= key && key <= one.last && one.until > clock::now();
         });
     };
-    const std::string headers =
-        "\r\nRequest-Id: " + request + "\r\nInstance-Id: " + this->id + "\r\n";
     std::unique_lock guard(this->lock);
+    const auto headers = [&] {
+        return "\r\nRequest-Id: " + request + "\r\nInstance-Id: " + this->id +
+               "\r\nServer-Load: " + std::to_string(this->busy) + "," +
+               std::to_string(this->waiting) + "," + std::to_string(this->bounds.slots) + "\r\n";
+    };
+    const std::string none = "Content-Length: 0\r\n\r\n";
     if (!holds_key()) {
-        return "HTTP/1.1 421 Misdirected" + headers +
-               "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        return "HTTP/1.1 421 Misdirected" + headers() + "Not-Executed: 1\r\n" + none;
+    }
+    if (this->busy >= this->bounds.slots) {
+        if (this->waiting >= this->bounds.queue) {
+            return "HTTP/1.1 503 Full" + headers() + "Not-Executed: 1\r\n" + none;
+        }
+        ++this->waiting;
+        this->check_queue();
+        this->ended.wait(guard, [this] { return this->busy < this->bounds.slots; });
+        --this->waiting;
+        this->check_queue();
+        if (!holds_key()) {
+            return "HTTP/1.1 421 Misdirected" + headers() + "Not-Executed: 1\r\n" + none;
+        }
     }
     ++this->runs;
+    ++this->busy;
     ++this->running[key];
     guard.unlock();
     this->record.line(this->id + " begins " + request + ", key " + std::to_string(key));
-    sleep_for(this->work);
+    sleep_for(this->bounds.work);
     guard.lock();
     if (--this->running[key] == 0) {
         this->running.erase(key);
     }
+    --this->busy;
     this->ended.notify_all();
     if (!holds_key()) {
-        return "HTTP/1.1 500 Failed" + headers + "Response-Signature: s." + request +
-               "\r\nContent-Length: 0\r\n\r\n";
+        return "HTTP/1.1 500 Failed" + headers() + "Response-Signature: s." + request + "\r\n" +
+               none;
+    }
+    return "HTTP/1.1 200 OK" + headers() + "Response-Signature: s." + request +
+           "\r\nContent-Length: 2\r\n\r\nok";
+}
+
+/// Resets new connections while the queue is long. The lock is held.
+void keyed_server::check_queue() {
+    const bool is_long = this->bounds.long_queue > 0 && this->waiting >= this->bounds.long_queue;
+    if (is_long != this->resetting) {
+        this->resetting = is_long;
+        this->server->reset_new(is_long);
+        this->record.line(this->id +
+                          (is_long ? " resets new connections, " : " takes connections, ") +
+                          std::to_string(this->waiting) + " requests wait");
     }
-    return "HTTP/1.1 200 OK" + headers + "Response-Signature: s." + request +
-           "\r\nServer-Load: 1,0,6\r\nContent-Length: 2\r\n\r\nok";
 }
 
 std::vector<keyed_server::hold> keyed_server::holds() const {
--- a/review/common/standin.hh
+++ b/review/common/standin.hh
@@ -94,13 +94,18 @@
     ~listener();
 
     int port() const { return this->bound; }
+    /// Whether new connections are reset; open ones go on.
+    void reset_new(bool enabled) { this->closed = enabled; }
     /// Refuses new connections and closes the open ones.
     void stop();
 
 private:
+    void open_socket(int port);
+
     int fd = -1;
     int bound = 0;
     handler on_connection;
+    std::atomic<bool> closed{false};
     std::atomic<bool> stopped{false};
     std::mutex lock;
     std::vector<std::weak_ptr<connection>> open;
@@ -114,6 +119,8 @@
     int port() const { return this->server->port(); }
     void put(const std::string& table, const std::string& key, const std::string& value);
     void remove(const std::string& table, const std::string& key);
+    /// Value of a row; empty if there is none.
+    std::string get(const std::string& table, const std::string& key);
 
 private:
     struct row {
@@ -150,12 +157,14 @@
     /// Waits until the gateway is ready.
     bool wait_until_ready(milliseconds timeout) const;
     int front_port() const { return this->front; }
+    int peer_port() const { return this->peers; }
 
 private:
     std::string settings;
     std::string log;
     int front = 0;
     int readiness = 0;
+    int peers = 0;
     pid_t pid = -1;
 };
 
@@ -169,8 +178,17 @@
         std::uint64_t fence = 0;
         clock::time_point until;
     };
-    /// @param work  how long a request runs
-    keyed_server(std::string id, std::string service, milliseconds work, recorder& record);
+    struct limits {
+        /// How long a request runs.
+        milliseconds work{100};
+        /// Requests that run at the same time.
+        int slots = 6;
+        /// Requests that wait for a slot; others are turned away.
+        int queue = 24;
+        /// New connections are reset while as many requests wait; 0 means never.
+        int long_queue = 0;
+    };
+    keyed_server(std::string id, std::string service, limits bounds, recorder& record);
     keyed_server(const keyed_server&) = delete;
     keyed_server& operator=(const keyed_server&) = delete;
 
@@ -187,15 +205,19 @@
     std::string order(const message& asked, bool grant, clock::time_point arrived);
     std::string run(const message& asked);
     void remove(unsigned first, unsigned last);
+    void check_queue();
 
     std::string id;
     std::string service;
-    milliseconds work;
+    limits bounds;
     recorder& record;
     std::uint64_t start_time;
     mutable std::mutex lock;
     std::vector<hold> held;
     std::map<unsigned, int> running;
+    int busy = 0;
+    int waiting = 0;
+    bool resetting = false;
     std::condition_variable ended;
     std::atomic<int> runs{0};
     std::unique_ptr<listener> server;
