coordinator: log for how long keys had no owner

What a fault or a fix costs the callers of a key could not be read from the logs: a move, a crash and a lost coordinator leave keys without an owner for very different times. The coordinator now writes keys_owned_again with the time, per range. The comparison is a function of its own in ranges, tested without a coordinator.

--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -1,6 +1,7 @@
 #include "gateway/coordinator.h"
 
 #include "admission/request_share.h"
+#include "ranges/ownership_gap.h"
 
 #include <nlohmann/json.hpp>
 
@@ -133,6 +134,7 @@
     /// Owners to which hosts send requests. `version` counts the changes; `history` has the latest
     /// of them, oldest first.
     ranges::range_table routes;
+    std::vector<ranges::ownership_gap> gaps;
     std::uint64_t version = 0;
     std::deque<std::vector<ranges::range_owner>> history;
 };
@@ -1338,6 +1340,17 @@
         own.history.pop_front();
     }
     ++own.version;
+    if (!own.routes.ranges.empty()) {
+        ranges::gap_update gaps = ranges::update_gaps(own.gaps, table, now);
+        for (const ranges::ownership_gap& closed : gaps.closed) {
+            telemetry::log_info(this->log, "keys_owned_again",
+                                {{"service", service.value()},
+                                 {"first", closed.keys.first},
+                                 {"last", closed.keys.last},
+                                 {"unowned", std::chrono::ceil<milliseconds>(now - closed.since)}});
+        }
+        own.gaps = std::move(gaps.open);
+    }
     own.routes = std::move(table);
     this->known_owners[service] = own.routes;
     this->handlers.owners_changed(service, own.routes);
--- a/libs/ranges/tests/ranges_test.cpp
+++ b/libs/ranges/tests/ranges_test.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE ranges
 #include "ranges/key_load.h"
 #include "ranges/lease_manager.h"
+#include "ranges/ownership_gap.h"
 #include "ranges/range_table.h"
 
 #include <boost/test/unit_test.hpp>
@@ -112,6 +113,39 @@
     BOOST_TEST(ranges::changes_between(make(), {}).empty());
 }
 
+// Guards against a wrong statement of how long keys had no owner, when only a part of them gets
+// one, when adjacent keys lose theirs later, and when the ranges are divided anew.
+BOOST_AUTO_TEST_CASE(gaps_keep_their_start_until_their_keys_are_owned) {
+    const auto at = [](ranges::key_position first, ranges::key_position last,
+                       const std::string& id) {
+        return ranges::range_owner{{first, last}, instance(id)};
+    };
+    const ranges::range_table lost{{at(0, 9, "a"), at(10, 29, ""), at(30, ranges::last_key, "b")}};
+    const auto first = ranges::update_gaps({}, lost, start);
+    BOOST_REQUIRE(first.open.size() == 1U);
+    BOOST_TEST(first.closed.empty());
+    const ranges::range_table more{
+        {at(0, 4, "a"), at(5, 14, ""), at(15, 19, "c"), at(20, 39, ""), at(40, 65'535, "b")}};
+    const auto second = ranges::update_gaps(first.open, more, start + 200ms);
+    BOOST_REQUIRE(second.closed.size() == 1U);
+    BOOST_CHECK((second.closed[0].keys == ranges::key_range{15, 19}));
+    BOOST_CHECK(second.closed[0].since == start);
+    BOOST_REQUIRE(second.open.size() == 4U);
+    BOOST_CHECK((second.open[0].keys == ranges::key_range{5, 9}));
+    BOOST_CHECK(second.open[0].since == start + 200ms);
+    BOOST_CHECK((second.open[1].keys == ranges::key_range{10, 14}));
+    BOOST_CHECK(second.open[1].since == start);
+    BOOST_CHECK((second.open[3].keys == ranges::key_range{30, 39}));
+    const ranges::range_table whole{{at(0, 24, "a"), at(25, 65'535, "b")}};
+    const auto third = ranges::update_gaps(second.open, whole, start + 300ms);
+    BOOST_TEST(third.open.empty());
+    std::uint32_t keys = 0;
+    for (const ranges::ownership_gap& gap : third.closed) {
+        keys += gap.keys.size();
+    }
+    BOOST_TEST(keys == 30U);
+}
+
 // Guards against grants by a table that may be older than the leases in force: also if its owners
 // are found to have ended or restarted, or if it is empty.
 BOOST_AUTO_TEST_CASE(unverified_owners_get_no_grant_before_all_leases_expire) {
