ranges: give no keys to a server that cannot be reached

What callers saw: after a server had crashed, its keys had no owner for seconds. Cause: a crashed server stays registered until three heartbeats are missed, and once its keys are free it has the least load of all servers. So the plan gave its own keys back to it, and did so again after each failed grant. Now a server to which the last connection failed gets no keys for three seconds (unreachable_retention), or until it answers. If no server can be reached, the least loaded one still gets them.

ranges_test server_that_cannot_be_reached_gets_no_keys failed before.

--- a/libs/ranges/include/ranges/lease_manager.h
+++ b/libs/ranges/include/ranges/lease_manager.h
@@ -45,6 +45,9 @@
     /// Connections must be refused for this long before the process is considered ended; see
     /// `candidate::refusal_is_conclusive`.
     milliseconds min_refusal_time{100};
+    /// Time after a failed connection for which a server gets no further keys. Covers the three
+    /// heartbeats after which the registration of a crashed server is removed.
+    milliseconds unreachable_retention{3'000};
     /// Total load, in requests per second, below which load is not balanced.
     double min_balance_load = 20.0;
 };
@@ -191,6 +194,8 @@
         bool in_flight = false;
         /// Kind of the command in flight; `state` may have changed since it was sent.
         lease_command::kind command_kind = lease_command::kind::grant;
+        /// Server to which the command in flight was sent; `owner` may have changed since.
+        server_instance command_server;
         /// Lease duration that the last grant asked for.
         milliseconds command_lease_duration{0};
         /// Lease for which the command in flight was sent, if this one was split off from it since.
@@ -222,6 +227,7 @@
     void record_failure(lease& failed, time_point now);
     static void free_immediately(lease& entry, time_point now);
     bool refusals_prove_end(lease& entry, time_point now) const;
+    bool may_gain_keys(const candidate& server) const;
     void merge_adjacent_leases(time_point now);
     std::map<server_instance, double> loads_by_server(const key_load& load) const;
     double accepting_weight() const;
@@ -240,6 +246,8 @@
     std::uint64_t last_id = 0;
     std::vector<lease> leases;
     std::vector<candidate> candidates;
+    /// Servers to which the last connection failed, by the time of that failure.
+    std::map<server_instance, time_point> unreachable;
     std::optional<std::vector<lease>> pending;
     std::size_t last_candidate_count = 0;
     time_point candidates_changed;
--- a/libs/ranges/src/lease_manager.cpp
+++ b/libs/ranges/src/lease_manager.cpp
@@ -26,10 +26,6 @@
 /// of that of its present server.
 constexpr double max_load_ratio_after_move = 0.85;
 
-bool may_gain_keys(const candidate& server) {
-    return server.accepts && server.registered;
-}
-
 }  // namespace
 
 lease_manager::lease_manager(const lease_settings& initial, epoch first_fence)
@@ -144,6 +140,9 @@
 
 void lease_manager::set_candidates(const std::vector<candidate>& servers, time_point now) {
     this->candidates = servers;
+    std::erase_if(this->unreachable, [this, now](const auto& failed) {
+        return now - failed.second >= this->settings.unreachable_retention;
+    });
     if (servers.size() != this->last_candidate_count) {
         this->last_candidate_count = servers.size();
         this->candidates_changed = now;
@@ -193,6 +192,7 @@
         }
         entry.in_flight = true;
         entry.command_kind = next.action;
+        entry.command_server = entry.owner;
         orders.push_back(std::move(next));
     }
     return orders;
@@ -215,6 +215,10 @@
     entry.handover.clear();
 }
 
+bool lease_manager::may_gain_keys(const candidate& server) const {
+    return server.accepts && server.registered && !this->unreachable.contains(server.instance);
+}
+
 bool lease_manager::refusals_prove_end(lease& entry, time_point now) const {
     if (!entry.refused_since) {
         entry.refused_since = now;
@@ -248,6 +252,11 @@
         entry.latest_expiry =
             std::max(entry.latest_expiry, now + this->max_lease_time(entry.command_lease_duration));
     }
+    if (outcome == command_outcome::refused || outcome == command_outcome::not_sent) {
+        this->unreachable[entry.command_server] = now;
+    } else {
+        this->unreachable.erase(entry.command_server);
+    }
     switch (outcome) {
         case command_outcome::ended:
             free_immediately(entry, now);
@@ -334,8 +343,10 @@
             continue;
         }
         const double ratio = found->second / server.weight;
-        if (best == nullptr || (server.registered && !best->registered) ||
-            (server.registered == best->registered && ratio < best_ratio)) {
+        const bool suitable = this->may_gain_keys(server);
+        const bool best_suitable = best != nullptr && this->may_gain_keys(*best);
+        if (best == nullptr || (suitable && !best_suitable) ||
+            (suitable == best_suitable && ratio < best_ratio)) {
             best = &server;
             best_ratio = ratio;
         }
@@ -415,7 +426,7 @@
             continue;
         }
         const candidate* restarted = this->find_restarted_instance(entry.owner);
-        if (restarted != nullptr && !may_gain_keys(*restarted)) {
+        if (restarted != nullptr && !this->may_gain_keys(*restarted)) {
             restarted = nullptr;
         }
         key_position first = entry.keys.first;
@@ -425,7 +436,7 @@
             const candidate* target = restarted;
             const candidate* const chosen =
                 entry.destination ? this->find_candidate(*entry.destination) : nullptr;
-            if (chosen != nullptr && may_gain_keys(*chosen)) {
+            if (chosen != nullptr && this->may_gain_keys(*chosen)) {
                 target = chosen;
             }
             if (target == nullptr) {
@@ -568,7 +579,8 @@
         if (most_loaded == nullptr || ratio(server) > ratio(*most_loaded)) {
             most_loaded = &server;
         }
-        if (server.registered && (move_target == nullptr || ratio(server) < ratio(*move_target))) {
+        if (this->may_gain_keys(server) &&
+            (move_target == nullptr || ratio(server) < ratio(*move_target))) {
             move_target = &server;
         }
     }
@@ -655,7 +667,7 @@
     const candidate* best = nullptr;
     double best_after = before * max_load_ratio_after_move;
     for (const candidate& server : this->candidates) {
-        if (may_gain_keys(server) && server.instance != from.instance) {
+        if (this->may_gain_keys(server) && server.instance != from.instance) {
             const double after = (server_loads.at(server.instance) + hot) / server.weight;
             if (after < best_after) {
                 best = &server;
--- a/libs/ranges/tests/ranges_test.cpp
+++ b/libs/ranges/tests/ranges_test.cpp
@@ -480,6 +480,34 @@
     }
 }
 
+// Guards against keys that go back and forth between failed servers: a crashed one is registered
+// for seconds, and has the least load of all.
+BOOST_AUTO_TEST_CASE(server_that_cannot_be_reached_gets_no_keys) {
+    fixture setup(servers({"a", "b", "c"}));
+    const auto candidates = servers({"a", "b", "c"});
+    ranges::range_table table;
+    const gg::time_point end = setup.now + setup.settings.unreachable_retention;
+    for (int step = 0; setup.now < end; ++step) {
+        setup.manager.set_candidates(candidates, setup.now);
+        for (const ranges::lease_command& command : setup.manager.due_commands(setup.now)) {
+            BOOST_REQUIRE((command.server.id.value() != "a" || !setup.commit()));
+            setup.manager.record_outcome(command.lease,
+                                         command.server.id.value() == "a"
+                                             ? ranges::command_outcome::refused
+                                             : ranges::command_outcome::done,
+                                         "", setup.now);
+        }
+        if (setup.commit()) {
+            table = setup.manager.table();
+            for (const ranges::range_owner& entry : table.ranges) {
+                BOOST_TEST(entry.owner.id.value() != "a");
+            }
+        }
+        setup.now += 50ms;
+    }
+    BOOST_TEST(!table.ranges.empty());
+}
+
 // Guards against keys of a leaving server that go to servers which may have ended: after an outage
 // of the store, those that have not registered again are still candidates for two seconds.
 BOOST_AUTO_TEST_CASE(keys_do_not_move_to_servers_whose_registration_has_lapsed) {
