ranges: refused connections do not end a lease

Cause: two refused connections 100 ms apart counted as the end of a registered server, and its keys were free at once, also while a grant to it was unanswered. A server with too many connections, one with a long queue and a path that resets connections refuse as well. Now only a release, the expiry of the longest lease, or another instance at the address or under the id frees keys. A server that refuses is asked again every 100 ms and keeps its keys if it answers in time; requests are not routed to it meanwhile. What was kept only to judge refusals is removed, with the field store_outage_age of answers between hosts.

Tests: refused_connections_free_no_keys_before_the_lease_expires, refused_connections_free_no_keys_while_a_grant_is_unanswered, server_that_answers_again_in_time_keeps_its_keys and the random schedules, in which sound servers refuse now, failed before. Two tests demanded the fault (refused_connections_free_keys_only_if_conclusive, and refused_connections_free_keys_after_a_takeover_without_an_outage); they demand now that keys wait for the lease, and no longer than that.

--- a/libs/gateway/include/gateway/coordinator.h
+++ b/libs/gateway/include/gateway/coordinator.h
@@ -71,10 +71,6 @@
     /// Time for which a new coordinator learns the load before it ends limits of the former one.
     milliseconds limit_learning_time{1'500};
     milliseconds order_timeout{600};
-    /// Time after an outage of the store during which a refused connection does not count as a sign
-    /// of a crash. Servers register again within about two seconds after an outage, and a server
-    /// that leaves announces it.
-    milliseconds store_settle_time{4'000};
     /// A coordinator that has had neither access to the store nor reports from other hosts for this
     /// long stops renewing leases, as another host may have taken over.
     milliseconds isolation_timeout{2'000};
@@ -132,8 +128,6 @@
     bool pending = false;
     /// The store is reachable from this host.
     bool has_store = true;
-    /// Time since the store was last known to be unavailable; empty if that no longer matters.
-    std::optional<milliseconds> store_outage_age;
     /// Version of the newest configuration row that this host has read; its number is 0 if it has
     /// read none.
     store_version catalogue;
@@ -206,9 +200,6 @@
     /// To be called after each change of the directory.
     void on_directory_changed();
     void set_store_reachable(bool reachable);
-    /// Records that the store is unavailable to this host now. For some time afterwards, refused
-    /// connections do not prove that a server has ended, since a leaving server could not say so.
-    void note_store_outage(time_point now);
     /// Sets the version of the newest configuration row that this host has read.
     void set_catalogue_version(const store_version& version);
     /// Sets when the store last confirmed the directory, which bounds the age of relayed data;
--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -203,9 +203,6 @@
     /// Raised when a limit begins or ends. The first one of a term is above those of earlier terms.
     std::uint64_t limits_version = 0;
     time_point last_store_contact{};
-    /// Last time at which the store was known to be unavailable, to this host or to a coordinator
-    /// that it followed.
-    time_point last_store_outage{};
     /// Start of this host's term as the coordinator.
     time_point coordinating_since{};
     /// The last commit, or the read after it, succeeded or ended in a conflict.
@@ -286,9 +283,6 @@
     void commit(const service_id& service, const ranges::range_table& table);
     void verify_commit(const service_id& service, const std::string& value);
     bool is_isolated(time_point now) const;
-    void note_store_outage(time_point when);
-    bool is_settling(time_point now) const;
-    bool knows_leaving_servers(time_point now) const;
 };
 
 milliseconds takeover_delay(const coordinator_settings& settings) {
@@ -572,9 +566,6 @@
         this->known_limits = answer.limits->limits.empty() ? 0 : answer.limits->version;
         this->handlers.limits_changed(*answer.limits);
     }
-    if (answer.store_outage_age) {
-        this->note_store_outage(now - *answer.store_outage_age);
-    }
     if (answer.catalogue.number != 0) {
         this->handlers.catalogue_named(answer.catalogue);
     }
@@ -767,9 +758,6 @@
         return;
     }
     this->last_tick = now;
-    if (!this->store_ok || !this->store_reachable) {
-        this->note_store_outage(now);
-    }
     this->answer_held_reports(false, now);
     if (!this->owners_verified && !this->managed.empty() &&
         std::none_of(this->managed.begin(), this->managed.end(), [now](const auto& entry) {
@@ -1143,23 +1131,6 @@
     }
 }
 
-void coordinator::state::note_store_outage(time_point when) {
-    this->last_store_outage = std::max(this->last_store_outage, when);
-}
-
-bool coordinator::state::is_settling(time_point now) const {
-    return now - this->last_store_outage <= this->settings.store_settle_time;
-}
-
-/// Whether each server that has begun to leave is known to do so: the store has confirmed the
-/// directory since this host coordinates, and there was no outage in which a server could not
-/// report that it leaves.
-bool coordinator::state::knows_leaving_servers(time_point now) const {
-    return !this->is_settling(now) && this->directory_confirmed_at &&
-           *this->directory_confirmed_at >= this->coordinating_since &&
-           now - *this->directory_confirmed_at < this->settings.relay_max_age;
-}
-
 void coordinator::state::update_leases(const service_id& service, time_point now) {
     auto found = this->managed.find(service);
     if (found == this->managed.end()) {
@@ -1192,9 +1163,7 @@
             const bool stays = !entry.draining && !this->ended.contains(entry.life) &&
                                !this->leaving.contains(entry.life);
             const bool registered = !this->servers.awaits_reregistration(id);
-            const bool steady = stays && registered && this->knows_leaving_servers(now);
-            candidates.push_back(
-                {entry.life, weight_of(own, mean, entry), stays, steady, registered});
+            candidates.push_back({entry.life, weight_of(own, mean, entry), stays, registered});
         }
     }
     own.keeper.set_candidates(candidates, now);
@@ -1375,9 +1344,6 @@
     }
     answer.term = this->term->number;
     answer.catalogue = this->catalogue_version;
-    if (this->is_settling(now)) {
-        answer.store_outage_age = std::chrono::floor<milliseconds>(now - this->last_store_outage);
-    }
     if (this->knows_limits(now)) {
         limits_update limits = this->current_limits();
         if (!limits.limits.empty() || report.limits != 0) {
@@ -1487,10 +1453,6 @@
     this->implementation->store_reachable = reachable;
 }
 
-void coordinator::note_store_outage(time_point now) {
-    this->implementation->note_store_outage(now);
-}
-
 void coordinator::set_catalogue_version(const store_version& version) {
     this->implementation->catalogue_version = version;
 }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -348,9 +348,6 @@
         }
         const bool failing = this->catalogue_watch.failing() || this->server_watch.failing() ||
                              this->term_watch.failing();
-        if (failing) {
-            this->ownership.note_store_outage(now);
-        }
         // Calls that were pending in an outage, or before a takeover, may never be answered.
         const bool ask_again =
             (this->store_failing && !failing) || (coordinating && !this->was_coordinating);
--- a/libs/gateway/src/reports.cpp
+++ b/libs/gateway/src/reports.cpp
@@ -292,9 +292,6 @@
     text["has_store"] = answer.has_store;
     text["hosts"] = answer.hosts;
     text["term"] = answer.term;
-    if (answer.store_outage_age) {
-        text["store_outage_age"] = answer.store_outage_age->count();
-    }
     if (answer.catalogue.number != 0) {
         text["catalogue"] = answer.catalogue.number;
         text["catalogue_era"] = answer.catalogue.era;
@@ -391,10 +388,6 @@
     answer.term = parsed.contains("term") && parsed["term"].is_number_unsigned()
                       ? parsed["term"].get<std::uint64_t>()
                       : 0;
-    if (const auto age = parsed.find("store_outage_age");
-        age != parsed.end() && age->is_number_unsigned()) {
-        answer.store_outage_age = milliseconds(bounded(*age, max_age.count()));
-    }
     answer.catalogue = {number_or_zero(parsed, "catalogue_era"),
                         number_or_zero(parsed, "catalogue")};
     if (parsed.contains("limits") && !decode_limits(parsed["limits"], answer.limits.emplace())) {
--- a/libs/ranges/include/ranges/lease_manager.h
+++ b/libs/ranges/include/ranges/lease_manager.h
@@ -42,9 +42,6 @@
     /// delay between regions: once until all hosts stop sending requests to the owner, and once
     /// until the requests sent before that have arrived.
     milliseconds release_delay{40};
-    /// Connections must be refused for this long before the process is considered ended; see
-    /// `candidate::refusal_is_conclusive`.
-    milliseconds min_refusal_time{100};
     /// Time after a failed connection for which a server gets no further keys. Covers the three
     /// heartbeats after which the registration of a crashed server is removed.
     milliseconds unreachable_retention{3'000};
@@ -59,9 +56,6 @@
     double weight = 1;
     /// Whether the server may own keys. Ranges of a server that may not are moved away.
     bool accepts = true;
-    /// Whether refused connections prove that the process has ended. True only while the server is
-    /// registered and not leaving, and the store has been reachable for long enough to know this.
-    bool refusal_is_conclusive = true;
     /// Whether its registration is in force. A server whose registration has lapsed in an outage of
     /// the store keeps its keys, but gets others only if all have lapsed.
     bool registered = true;
@@ -93,9 +87,9 @@
     fenced_off,
     /// Another server answered at the address, so this server instance has ended.
     ended,
-    /// The connection was refused. This alone does not prove that the process has ended: a leaving
-    /// server closes its listener while it finishes its requests, and a server with too many
-    /// connections resets new ones.
+    /// The connection was refused, so the command was not sent. This never proves that the process
+    /// has ended: a leaving server closes its listener while it finishes its requests, a server
+    /// with too many connections resets new ones, and so does a faulty path to a sound server.
     refused,
     /// No connection could be made, so the command was not sent.
     not_sent,
@@ -200,11 +194,11 @@
         milliseconds command_lease_duration{0};
         /// Lease for which the command in flight was sent, if this one was split off from it since.
         lease_id command_lease;
-        /// Consecutive commands without an answer, and failed connections among them.
+        /// Consecutive commands without an answer, and connections that timed out among them.
         int failures = 0;
         int connect_failures = 0;
-        /// Time of the first refused connection since the last answer.
-        std::optional<time_point> refused_since;
+        /// Consecutive connections that were refused.
+        int refusals = 0;
         time_point next_send;
         /// Upper bound for the expiry of any lease that the owner has, or may still get from a
         /// command in flight.
@@ -226,7 +220,6 @@
                        time_point now);
     void record_failure(lease& failed, time_point now);
     static void free_immediately(lease& entry, time_point now);
-    bool refusals_prove_end(lease& entry, time_point now) const;
     bool may_gain_keys(const candidate& server) const;
     void merge_adjacent_leases(time_point now);
     std::map<server_instance, double> loads_by_server(const key_load& load) const;
--- a/libs/ranges/src/lease_manager.cpp
+++ b/libs/ranges/src/lease_manager.cpp
@@ -10,8 +10,11 @@
 
 /// Consecutive failed commands after which the lease of an owner is no longer renewed.
 constexpr int max_unanswered_attempts = 6;
-/// Consecutive failed connections after which the lease of an owner is no longer renewed.
+/// Consecutive connections that time out after which the lease of an owner is no longer renewed.
 constexpr int max_connect_failures = 2;
+/// Consecutive refused connections after which no requests are routed to an owner. Its lease is
+/// renewed if a later connection succeeds in time.
+constexpr int max_routable_refusals = 2;
 constexpr milliseconds retry_delay{100};
 constexpr int percent = 100;
 /// Largest piece of a free range that goes to one server, as a part of that server's fair share.
@@ -120,7 +123,7 @@
     entry.routable = false;
     entry.failures = 0;
     entry.connect_failures = 0;
-    entry.refused_since.reset();
+    entry.refusals = 0;
 }
 
 lease_manager::lease* lease_manager::find(lease_id id) {
@@ -164,9 +167,12 @@
 std::vector<lease_command> lease_manager::due_commands(time_point now) {
     std::vector<lease_command> orders;
     for (lease& entry : this->leases) {
-        if ((entry.state == phase::expiring || entry.state == phase::releasing) &&
+        const bool refused = entry.state == phase::held && !entry.in_flight &&
+                             entry.refusals >= max_routable_refusals;
+        if ((entry.state == phase::expiring || entry.state == phase::releasing || refused) &&
             now >= entry.latest_expiry) {
-            // The lease has expired, so an unanswered release need not be waited for.
+            // The lease has expired, so neither an unanswered release nor an owner that refuses
+            // connections need be waited for.
             entry.state = phase::free;
             entry.unverified = false;
         }
@@ -219,15 +225,6 @@
     return server.accepts && server.registered && !this->unreachable.contains(server.instance);
 }
 
-bool lease_manager::refusals_prove_end(lease& entry, time_point now) const {
-    if (!entry.refused_since) {
-        entry.refused_since = now;
-    }
-    const candidate* const owner = this->find_candidate(entry.owner);
-    return owner != nullptr && owner->refusal_is_conclusive &&
-           now - *entry.refused_since >= this->settings.min_refusal_time;
-}
-
 void lease_manager::record_outcome(lease_id id, command_outcome outcome,
                                    const std::string& handover, time_point now) {
     for (lease& entry : this->leases) {
@@ -254,6 +251,10 @@
     }
     if (outcome == command_outcome::refused || outcome == command_outcome::not_sent) {
         this->unreachable[entry.command_server] = now;
+        if (entry.command_kind == lease_command::kind::grant) {
+            entry.latest_expiry =
+                std::max(entry.expiry_before_command, entry.unanswered_grant_expiry);
+        }
     } else {
         this->unreachable.erase(entry.command_server);
     }
@@ -268,16 +269,13 @@
             entry.next_send = now + retry_delay;
             return;
         case command_outcome::refused:
-            if (this->refusals_prove_end(entry, now)) {
-                free_immediately(entry, now);
-                return;
+            // A refusal takes no time, so the command can be repeated until the lease expires.
+            entry.next_send = now + retry_delay;
+            if (++entry.refusals >= max_routable_refusals) {
+                entry.routable = false;
             }
-            [[fallthrough]];
+            return;
         case command_outcome::not_sent:
-            if (entry.command_kind == lease_command::kind::grant) {
-                entry.latest_expiry =
-                    std::max(entry.expiry_before_command, entry.unanswered_grant_expiry);
-            }
             ++entry.connect_failures;
             this->record_failure(entry, now);
             return;
@@ -293,7 +291,7 @@
     }
     entry.failures = 0;
     entry.connect_failures = 0;
-    entry.refused_since.reset();
+    entry.refusals = 0;
     if (entry.command_kind == lease_command::kind::grant) {
         entry.confirmed = true;
         entry.routable = true;
@@ -501,6 +499,7 @@
         entry.destination.reset();
         entry.failures = 0;
         entry.connect_failures = 0;
+        entry.refusals = 0;
         entry.fence = this->next_fence;
         entry.next_send = now;
     }
@@ -512,7 +511,7 @@
     for (lease& entry : this->leases) {
         const auto settled = [](const lease& other) {
             return other.state == phase::held && !other.in_flight && !other.destination &&
-                   other.confirmed && other.failures == 0;
+                   other.confirmed && other.failures == 0 && other.refusals == 0;
         };
         if (!merged.empty() && merged.back().owner == entry.owner && settled(merged.back()) &&
             settled(entry)) {
