wire: bound the memory that answers take, over all clients of the process

What callers saw, as other operators report: a server sends bytes without end, the host runs out of memory, and the requests of all others end with it. Cause: the limits counted received bytes, for each client by itself. An empty header line of four bytes takes 64, and a body that grows as one text up to three times its size. Now one budget counts what is kept, follows the memory of the host and gives no peer more than 60%; heads and trailers have a limit of 32 KiB, answers to orders one of 64 KiB; bodies are received in blocks; and a server whose answer exceeds its bounds is paused at once.

The limits of answers_without_end_are_given_up are stated in the new form, with equal values.

--- a/libs/gateway/include/gateway/balancer.h
+++ b/libs/gateway/include/gateway/balancer.h
@@ -112,6 +112,10 @@
 /// Records a request that got no response: it could not be sent, its connection failed, or its
 /// deadline passed. Counts as a failure.
 void record_no_response(server_state& server, const balancer_settings& settings, time_point now);
+/// Records a response that exceeds its bounds. Pauses the server at once: each further one would
+/// take as much memory and bandwidth.
+void record_excessive_response(server_state& server, const balancer_settings& settings,
+                               time_point now);
 void record_load(server_state& server, const reported_load& load, time_point now);
 
 }  // namespace greengagechute::gateway
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -34,8 +34,13 @@
     milliseconds max_lease_duration{10'000};
     retry_budget_settings retries;
     host_capacity capacity;
+    /// Bounds of what servers and other hosts may send to this one.
+    wire::response_limits responses;
 };
 
+/// Memory for responses that are being received, on a host with `memory_bytes` of memory.
+std::size_t response_memory(std::size_t memory_bytes);
+
 /// Names of the platform's tables and headers, and parsers for the rows.
 struct row_format {
     std::string catalogue_table;
--- a/libs/gateway/src/balancer.cpp
+++ b/libs/gateway/src/balancer.cpp
@@ -134,6 +134,12 @@
     }
 }
 
+void record_excessive_response(server_state& server, const balancer_settings& settings,
+                               time_point now) {
+    record_no_response(server, settings, now);
+    server.paused_until = now + settings.pause_duration;
+}
+
 void record_load(server_state& server, const reported_load& load, time_point now) {
     server.reported = load;
     server.reported_at = now;
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -1130,7 +1130,7 @@
     }
     service_pool& pool = this->service_of(active->service, now);
     const auto found = pool.servers.find(active->current_server);
-    server_state* const server = found == pool.servers.end() ? nullptr : &found->second;
+    server_state* server = found == pool.servers.end() ? nullptr : &found->second;
     if (outcome.error && !outcome.sent) {
         this->log.add(active->trail, telemetry::level::warning, "server_unreachable",
                       {{"server", active->current_server.value()}, {"error", outcome.error}});
@@ -1151,6 +1151,12 @@
             // The answer was cut after its head.
             this->note_statement(active, outcome.message, now);
         }
+        if (server != nullptr && outcome.error == wire::wire_errc::response_too_large) {
+            const time_point before = server->paused_until;
+            record_excessive_response(*server, this->settings.balancer, now);
+            this->log_pause(*server, before, now);
+            server = nullptr;
+        }
         this->on_no_answer(active, server, outcome.error, now);
         return;
     }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -48,6 +48,12 @@
 
 }  // namespace
 
+std::size_t response_memory(std::size_t memory_bytes) {
+    // Heads, the copy of a complete body and answers that wait for slow callers come on top.
+    constexpr std::size_t memory_per_budget = 5;
+    return std::min(wire::receive_budget::default_bytes, memory_bytes / memory_per_budget);
+}
+
 struct gateway::state {
     wire::event_loop& loop;
     telemetry::logger& log;
@@ -95,8 +101,8 @@
           metrics(initial_metrics),
           format(schema),
           settings(host_settings),
-          upstreams(host_loop, {}),
-          peers(host_loop, {}),
+          upstreams(host_loop, {}, host_settings.responses),
+          peers(host_loop, {}, host_settings.responses),
           servers(directory_settings{}),
           frontend(host_loop, this->upstreams, logger, initial_metrics, schema.headers,
                    front_settings_for(host_settings), seed),
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -741,6 +741,31 @@
     BOOST_TEST(runs == 1);
 }
 
+// Guards against a faulty server that is asked again at once, and sends its bytes without end each
+// time.
+BOOST_AUTO_TEST_CASE(server_that_sends_bytes_without_end_is_paused) {
+    front_fixture test;
+    int connections = 0;
+    const std::string block(65'536, 'x');
+    std::vector<std::shared_ptr<wire::stream>> opened;
+    wire::listener endless(test.loop, [&](std::shared_ptr<wire::stream> accepted) {
+        ++connections;
+        wire::stream_handlers handlers;
+        handlers.data = [&block, stream = accepted.get()](std::string_view) {
+            stream->write("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n");
+            stream->write(block);
+        };
+        handlers.drained = [&block, stream = accepted.get()] { stream->write(block); };
+        accepted->set_handlers(std::move(handlers));
+        opened.push_back(std::move(accepted));
+    });
+    BOOST_REQUIRE(!endless.open({"127.0.0.1", 0}));
+    test.add("s1", "plain", {"127.0.0.1", endless.port()});
+    BOOST_TEST(test.ask("POST", "/unsafe/x").message.code == 502);
+    BOOST_TEST(test.ask("POST", "/unsafe/x", "300").message.code == 503);
+    BOOST_TEST(connections == 1);
+}
+
 // Guards against a safe request that fails although another server could run it.
 BOOST_AUTO_TEST_CASE(safe_request_is_repeated_at_another_server) {
     front_fixture test;
--- a/libs/wire/include/wire/client.h
+++ b/libs/wire/include/wire/client.h
@@ -5,6 +5,7 @@
 #include "base/time.h"
 #include "wire/loop.h"
 #include "wire/message.h"
+#include "wire/receive_budget.h"
 #include "wire/stream.h"
 
 #include <cstdint>
@@ -61,10 +62,12 @@
 
 /// Bounds of what servers may send, so that one that never ends an answer does not exhaust memory.
 struct response_limits {
+    /// Memory for the head of one response, trailers included.
+    std::size_t head_bytes = 32U << 10U;
     /// Bytes received for one call: the response, interim ones, and skipped ones of other requests.
     std::size_t call_bytes = 8U << 20U;
-    /// Bytes received for all open calls together.
-    std::size_t total_bytes = 32U << 20U;
+    /// Memory for the responses of all open calls, of other clients of the process too. Not null.
+    std::shared_ptr<receive_budget> budget = std::make_shared<receive_budget>();
 };
 
 /// HTTP/1.1 client with connections that are used again. One exchange at a time on a connection; a
@@ -103,14 +106,13 @@
     void drop(const std::shared_ptr<connection>& channel, close_mode mode = close_mode::orderly);
     void end_call(const std::shared_ptr<call>& ended, call_result outcome);
 
+    bool count_received(connection& channel, std::size_t received);
     void forget_received(connection& channel);
 
     event_loop& loop;
     idle_limits limits;
     response_limits bounds;
     close_mode mode;
-    /// Bytes received for the open calls.
-    std::size_t received_bytes = 0;
     std::uint64_t last_id = 0;
     std::uint64_t connections_opened = 0;
     std::unordered_map<std::uint64_t, std::shared_ptr<call>> calls;
--- a/libs/wire/include/wire/message.h
+++ b/libs/wire/include/wire/message.h
@@ -102,6 +102,10 @@
     response_parser& operator=(const response_parser&) = delete;
     ~response_parser();
 
+    /// Limits the memory for a head, interim heads and trailers included. 0 means no limit.
+    void set_head_limit(std::size_t bytes);
+    /// Memory that the current response takes.
+    std::size_t kept_bytes() const;
     /// The next response answers a HEAD request and has no body.
     void expect_no_body(bool enabled);
     bool feed(std::string_view bytes, std::size_t& used);
--- a/libs/wire/src/client.cpp
+++ b/libs/wire/src/client.cpp
@@ -58,8 +58,9 @@
     bool connected = false;
     bool used = false;
     bool dropped = false;
-    /// Bytes received for the current call.
+    /// Bytes received for the current call, and the memory taken from the budget for it.
     std::size_t received = 0;
+    std::size_t kept = 0;
     time_point idle_until;
 };
 
@@ -72,6 +73,7 @@
         this->loop.cancel(open_call->timeout);
         this->loop.cancel(open_call->connect_timeout);
         if (open_call->channel) {
+            this->forget_received(*open_call->channel);
             open_call->channel->socket->close(close_mode::abortive);
             open_call->channel->current = nullptr;
             open_call->channel = nullptr;
@@ -131,6 +133,7 @@
         return;
     }
     auto channel = std::make_shared<connection>();
+    channel->parser.set_head_limit(this->bounds.head_bytes);
     channel->address = started->address;
     channel->current = started;
     started->channel = channel;
@@ -165,21 +168,26 @@
     channel->socket->write(std::move(started->bytes));
 }
 
+/// Counts bytes that were received for the current call and read by the parser. Returns false if
+/// they exceed the bounds.
+bool client::count_received(connection& channel, std::size_t received) {
+    channel.received += received;
+    const std::size_t kept = channel.parser.kept_bytes();
+    if (channel.received > this->bounds.call_bytes ||
+        !this->bounds.budget->resize(channel.address, channel.kept, kept)) {
+        return false;
+    }
+    channel.kept = kept;
+    return true;
+}
+
 void client::forget_received(connection& channel) {
-    this->received_bytes -= channel.received;
+    this->bounds.budget->resize(channel.address, channel.kept, 0);
+    channel.kept = 0;
     channel.received = 0;
 }
 
 void client::on_data(const std::shared_ptr<connection>& channel, std::string_view bytes) {
-    if (channel->current) {
-        channel->received += bytes.size();
-        this->received_bytes += bytes.size();
-        if (channel->received > this->bounds.call_bytes ||
-            this->received_bytes > this->bounds.total_bytes) {
-            this->fail(channel, wire_errc::response_too_large);
-            return;
-        }
-    }
     while (!bytes.empty() && !channel->dropped) {
         if (!channel->current) {
             // Nothing was asked for: the bytes belong to no request.
@@ -189,10 +197,15 @@
         std::size_t used = 0;
         const bool complete = channel->parser.feed(bytes, used);
         bytes.remove_prefix(std::min(used, bytes.size()));
-        if (complete) {
+        if (channel->parser.error()) {
+            const bool too_large =
+                channel->parser.error() == make_error_code(wire_errc::header_too_large);
+            this->fail(channel,
+                       too_large ? wire_errc::response_too_large : wire_errc::malformed_response);
+        } else if (!this->count_received(*channel, used)) {
+            this->fail(channel, wire_errc::response_too_large);
+        } else if (complete) {
             this->complete(channel, bytes);
-        } else if (channel->parser.error()) {
-            this->fail(channel, wire_errc::malformed_response);
         }
     }
 }
--- a/libs/wire/src/message.cpp
+++ b/libs/wire/src/message.cpp
@@ -44,14 +44,22 @@
            std::none_of(line.value.begin(), line.value.end(), bad_value);
 }
 
+/// Size of the blocks that a body is received in. One text that grows would take up to three times
+/// the received bytes while it is copied.
+constexpr std::size_t body_block_size = 64U << 10U;
+
 /// State that requests and responses share; collects the pieces that http-parser reports.
 struct collector {
     http_parser parser{};
     message_limits limits;
+    /// Memory that a header line takes beside its name and value.
+    std::size_t line_overhead = 4;
     header_list headers;
     std::string target;
     std::string reason;
+    /// Last block of the body, and the full ones before it.
     std::string body;
+    std::vector<std::string> body_blocks;
     std::size_t header_size = 0;
     bool value_seen = false;
     bool begun = false;
@@ -66,6 +74,7 @@
         this->target.clear();
         this->reason.clear();
         this->body.clear();
+        this->body_blocks.clear();
         this->header_size = 0;
         this->value_seen = false;
         this->begun = false;
@@ -89,12 +98,42 @@
     }
 
     int add_body(const char* at, std::size_t size) {
-        if (this->limits.body_bytes != 0 && this->body.size() + size > this->limits.body_bytes) {
+        if (this->limits.body_bytes != 0 && this->body_size() + size > this->limits.body_bytes) {
             return this->fail(wire_errc::body_too_large);
         }
-        this->body.append(at, size);
+        std::string_view rest(at, size);
+        while (!rest.empty()) {
+            if (this->body.size() == body_block_size) {
+                this->body_blocks.push_back(std::exchange(this->body, {}));
+                this->body.reserve(body_block_size);
+            }
+            const std::string_view part = rest.substr(0, body_block_size - this->body.size());
+            this->body.append(part);
+            rest.remove_prefix(part.size());
+        }
         return 0;
     }
+
+    std::size_t body_size() const {
+        return this->body_blocks.size() * body_block_size + this->body.size();
+    }
+
+    /// Returns the whole body, and leaves it empty.
+    std::string take_body() {
+        if (this->body_blocks.empty()) {
+            return std::exchange(this->body, {});
+        }
+        std::string whole;
+        whole.reserve(this->body_size());
+        for (std::string& block : this->body_blocks) {
+            whole.append(block);
+            std::string().swap(block);
+        }
+        whole.append(this->body);
+        this->body_blocks.clear();
+        this->body = {};
+        return whole;
+    }
 };
 
 collector& of(http_parser* parser) {
@@ -107,9 +146,6 @@
     parser.flags = static_cast<unsigned char>(parser.flags & ~static_cast<unsigned>(F_UPGRADE));
 }
 
-/// Bytes that a header line has beside its name and value.
-constexpr std::size_t line_overhead = 4;
-
 http_parser_settings make_settings(bool requests) {
     http_parser_settings settings{};
     settings.on_message_begin = [](http_parser* parser) {
@@ -130,7 +166,7 @@
         if (own.headers.empty() || own.value_seen) {
             own.headers.emplace_back();
             own.value_seen = false;
-            own.header_size += line_overhead;
+            own.header_size += own.line_overhead;
         }
         own.headers.back().name.append(at, size);
         return own.count_header(size);
@@ -344,7 +380,7 @@
     }
     const std::string* expectation = find_header(own.headers, "Expect");
     return expectation != nullptr && same_name(trimmed(*expectation), "100-continue") &&
-           own.body.empty();
+           own.body.empty() && own.body_blocks.empty();
 }
 
 request request_parser::take() {
@@ -353,7 +389,7 @@
     message.method = http_method_str(static_cast<http_method>(own.parser.method));
     message.target = std::move(own.target);
     message.headers = std::move(own.headers);
-    message.body = std::move(own.body);
+    message.body = own.take_body();
     message.has_body = own.has_body;
     message.keep_alive = http_should_keep_alive(&own.parser) != 0;
     own.reset();
@@ -371,10 +407,19 @@
     lift_parser_limit();
     http_parser_init(&this->implementation->parser, HTTP_RESPONSE);
     this->implementation->parser.data = static_cast<collector*>(this->implementation.get());
+    this->implementation->line_overhead = sizeof(header);
 }
 
 response_parser::~response_parser() = default;
 
+void response_parser::set_head_limit(std::size_t bytes) {
+    this->implementation->limits.header_bytes = bytes;
+}
+
+std::size_t response_parser::kept_bytes() const {
+    return this->implementation->header_size + this->implementation->body_size();
+}
+
 void response_parser::expect_no_body(bool enabled) {
     this->implementation->no_body = enabled;
 }
@@ -424,7 +469,7 @@
     message.code = own.parser.status_code;
     message.reason = std::move(own.reason);
     message.headers = std::move(own.headers);
-    message.body = std::move(own.body);
+    message.body = own.take_body();
     message.until_close = own.until_close;
     message.keep_alive = !own.until_close && http_should_keep_alive(&own.parser) != 0;
     own.reset();
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -8,6 +8,7 @@
 
 #include <arpa/inet.h>
 #include <boost/test/unit_test.hpp>
+#include <malloc.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -16,6 +17,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <fstream>
 #include <functional>
 #include <memory>
 #include <random>
@@ -29,6 +31,23 @@
 
 namespace {
 
+/// Largest resident memory of this process since `reset_peak_memory`, in bytes.
+std::size_t peak_memory() {
+    std::ifstream file("/proc/self/status");
+    for (std::string line; std::getline(file, line);) {
+        if (line.rfind("VmHWM:", 0) == 0) {
+            return std::stoul(line.substr(6)) << 10U;
+        }
+    }
+    return 0;
+}
+
+void reset_peak_memory() {
+    // Frees what earlier cases have left, and starts a new peak (proc(5), clear_refs).
+    malloc_trim(0);
+    std::ofstream("/proc/self/clear_refs") << "5";
+}
+
 constexpr gg::milliseconds test_limit{5'000};
 
 /// Reads one request from `bytes`, given in pieces of `step` bytes.
@@ -557,7 +576,8 @@
             opened.push_back(std::move(accepted));
         });
         BOOST_REQUIRE(!listening.open({"127.0.0.1", 0}));
-        wire::client client(loop, {}, {1U << 20U, 4U << 20U});
+        wire::client client(
+            loop, {}, {32U << 10U, 1U << 20U, std::make_shared<wire::receive_budget>(4U << 20U)});
         wire::call_options options;
         options.timeout = gg::milliseconds{3'000};
         options.accept = [](const wire::response& message) {
@@ -571,6 +591,127 @@
     }
 }
 
+// Guards against a process that runs out of memory, and against calls to sound servers that fail,
+// while a faulty server sends bytes without end: in each part of an answer, to requests and to
+// orders, which two clients send.
+BOOST_AUTO_TEST_CASE(memory_is_bounded_while_a_server_sends_bytes_without_end) {
+    constexpr int calls = 64;
+    constexpr std::size_t max_growth = 64U << 20U;
+    const std::string line = "X-Endless: " + std::string(1'000, 'x') + "\r\n";
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> endless{
+        {head, line},
+        {head, "a:\r\n"},
+        {"HTTP/1.1 200 ", "x"},
+        {head + "X: ", "x"},
+        {head, "x"},
+        {head + "\r\n", line},
+        {chunked, "4\r\nabcd\r\n"},
+        {chunked, "400\r\n" + std::string(1'024, 'x') + "\r\n"},
+        {chunked + "0\r\n", line},
+        {chunked + "0\r\n", "a:\r\n"},
+        {head + "Content-Length: 99999999999\r\n\r\n", line},
+        {head + "Content-Length: 9000000\r\n\r\n", line},
+        {"", "HTTP/1.1 102 Processing\r\nX-Some: value\r\n\r\n"},
+        {"", "no answer"},
+    };
+    for (const auto& [begin, repeated] : endless) {
+        wire::event_loop loop;
+        std::string block;
+        while (block.size() < 65'536) {
+            block += repeated;
+        }
+        std::vector<std::shared_ptr<wire::stream>> opened;
+        wire::listener faulty(loop, [&, first = begin](std::shared_ptr<wire::stream> accepted) {
+            wire::stream_handlers handlers;
+            const auto write = [&block, stream = accepted.get()] { stream->write(block); };
+            handlers.data = [write, first, stream = accepted.get()](std::string_view) {
+                stream->write(first);
+                write();
+            };
+            handlers.drained = write;
+            accepted->set_handlers(std::move(handlers));
+            opened.push_back(std::move(accepted));
+        });
+        BOOST_REQUIRE(!faulty.open({"127.0.0.1", 0}));
+        wire::server sound(loop, [](const std::shared_ptr<wire::incoming>& request) {
+            wire::response reply;
+            reply.code = 200;
+            reply.body.assign(10'000, 'x');
+            request->answer(std::move(reply));
+        });
+        BOOST_REQUIRE(!sound.open({"127.0.0.1", 0}));
+        wire::response_limits limits;
+        wire::client requests(loop, {}, limits);
+        wire::client orders(loop, {}, limits, wire::close_mode::abortive);
+        reset_peak_memory();
+        const std::size_t before = peak_memory();
+        int failed = 0;
+        int served = 0;
+        std::size_t most_kept = 0;
+        wire::call_options options;
+        options.timeout = gg::milliseconds{20'000};
+        const auto count_call = [&] {
+            if (failed + served == 4 * calls) {
+                loop.stop();
+            }
+        };
+        for (int count = 0; count < calls; ++count) {
+            for (wire::client* const client : {&requests, &orders}) {
+                client->send({"127.0.0.1", faulty.port()}, get("/"), options,
+                             [&](const wire::call_result& outcome) {
+                                 BOOST_TEST(outcome.error);
+                                 ++failed;
+                                 count_call();
+                             });
+                loop.call_after(gg::milliseconds{count}, [&, client] {
+                    client->send({"127.0.0.1", sound.port()}, get("/"), options,
+                                 [&](const wire::call_result& outcome) {
+                                     BOOST_TEST(!outcome.error);
+                                     ++served;
+                                     count_call();
+                                 });
+                    most_kept = std::max(most_kept, limits.budget->used());
+                });
+            }
+        }
+        loop.call_after(gg::milliseconds{30'000}, [&loop] { loop.stop(); });
+        loop.run();
+        BOOST_TEST(failed == 2 * calls);
+        BOOST_TEST(served == 2 * calls);
+        BOOST_TEST(limits.budget->used() == 0U);
+        BOOST_TEST(most_kept <= wire::receive_budget::default_bytes);
+        const std::size_t growth = peak_memory() - before;
+        BOOST_TEST_MESSAGE("peak memory grew by " << (growth >> 20U)
+                                                  << " MiB: " << begin.substr(0, 60) << " / "
+                                                  << repeated.substr(0, 20));
+#if !defined(__SANITIZE_ADDRESS__)
+        // The address sanitizer keeps freed memory.
+        BOOST_TEST(growth < max_growth);
+#endif
+    }
+}
+
+// Guards against one faulty server that takes the memory of all others, and against memory that is
+// not given back.
+BOOST_AUTO_TEST_CASE(one_peer_gets_no_more_than_a_part_of_the_budget) {
+    wire::receive_budget budget(1'000);
+    const wire::endpoint faulty{"127.0.0.1", 1};
+    const wire::endpoint sound{"127.0.0.1", 2};
+    BOOST_TEST(budget.resize(faulty, 0, 300));
+    BOOST_TEST(budget.resize(faulty, 0, 300));
+    BOOST_TEST(!budget.resize(faulty, 300, 301));
+    BOOST_TEST(budget.used() == 600U);
+    BOOST_TEST(budget.resize(sound, 0, 400));
+    BOOST_TEST(!budget.resize(sound, 400, 401));
+    BOOST_TEST(budget.resize(faulty, 300, 0));
+    BOOST_TEST(budget.resize(sound, 400, 600));
+    BOOST_TEST(budget.resize(faulty, 300, 0));
+    BOOST_TEST(budget.resize(sound, 600, 0));
+    BOOST_TEST(budget.used() == 0U);
+}
+
 // Guards against a process that ends while a slow caller has yet to take the end of its answer.
 BOOST_AUTO_TEST_CASE(server_is_not_idle_until_its_last_answer_has_left) {
     wire::event_loop loop;
--- a/programs/greengagechute-gateway/main.cpp
+++ b/programs/greengagechute-gateway/main.cpp
@@ -26,6 +26,8 @@
 constexpr int exit_failed = 1;
 constexpr int exit_usage = 2;
 constexpr int exit_settings = 3;
+/// Bytes that a server may send in answer to an order.
+constexpr std::size_t max_order_response = 64U << 10U;
 
 struct arguments {
     std::string settings_path;
@@ -91,11 +93,13 @@
     gg::telemetry::logger& logger = **log;
     gg::telemetry::metrics numbers;
     gg::wire::event_loop loop;
-    gg::wire::client calls(loop, {});
+    gg::wire::client calls(loop, {}, settings.gateway.responses);
     const auto store = gg::adapter::make_store(calls, settings.store);
     // A grant that arrives after it was given up, or after this process has ended, would let a
     // server keep keys that another server owns by then.
-    gg::wire::client order_calls(loop, {}, {}, gg::wire::close_mode::abortive);
+    gg::wire::response_limits order_responses = settings.gateway.responses;
+    order_responses.call_bytes = max_order_response;
+    gg::wire::client order_calls(loop, {}, order_responses, gg::wire::close_mode::abortive);
     const auto orders = gg::adapter::make_orders(order_calls);
     const std::uint64_t seed =
         (static_cast<std::uint64_t>(std::random_device{}()) << 32U) | std::random_device{}();
