coordinator: entries of services that are not configured end no server

Cause: all entries with the same address were compared, whatever their service, and an entry that another writer left, with a later start, counted as the successor of the server at that address. Ruled out: a wrong answer at the address, and the directory, which keeps both entries. Now only entries of configured services are compared. A server of another configured service at the address still ends the former one.

--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -1142,15 +1142,21 @@
         this->adopt_owners(service, found->second, now);
     }
     managed_service& own = found->second;
+    // An entry of a service that is not configured may come from another writer, and says nothing
+    // about the servers at its address.
     std::map<wire::endpoint, const server_entry*> newest;
     for (const auto& [id, entry] : this->servers.servers()) {
+        if (!this->config->services.contains(entry.service)) {
+            continue;
+        }
         const server_entry*& known = newest[entry.address];
         if (known == nullptr || known->life.start_time_ms < entry.life.start_time_ms) {
             known = &entry;
         }
     }
     for (const auto& [id, entry] : this->servers.servers()) {
-        if (newest.at(entry.address)->life.start_time_ms > entry.life.start_time_ms &&
+        const auto user = newest.find(entry.address);
+        if (user != newest.end() && user->second->life.start_time_ms > entry.life.start_time_ms &&
             this->ended.insert(entry.life).second) {
             // A newer server uses the address, so this one has ended.
             own.keeper.set_instance_ended(entry.life, now);
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -1327,6 +1327,37 @@
     BOOST_TEST(test.coordinating() == first);
 }
 
+// Guards against two owners of a key: an entry of another writer names a service that is not
+// configured and the address of a live server, and would count as its successor. The entry of a
+// configured service does end the former server at its address.
+BOOST_AUTO_TEST_CASE(only_entries_of_configured_services_end_a_server) {
+    coordination_fixture test;
+    test.add_hosts(1);
+    test.run_for(1'500ms);
+    const auto grants_of_b = [&test] { return test.orders.grants[gg::server_id("b")]; };
+    gateway::server_entry other;
+    other.life = {gg::server_id("audit-1"), 9};
+    other.service = gg::service_id("audit");
+    other.address = test.servers.find(gg::server_id("a"))->address;
+    other.data_centre = gg::data_centre_id("dc");
+    test.servers.apply({{other.life.id, other, at(2)}}, at(2), wire::event_loop::now());
+    test.run_for(1'000ms);
+    BOOST_TEST(test.orders.overlapping_grants == 0);
+    BOOST_TEST(test.orders.releases == 0);
+    BOOST_TEST(!test.stored_owner_is("b"));
+    auto content = std::make_shared<gateway::catalogue>();
+    content->version = 2;
+    for (const char* service : {"keys", "audit"}) {
+        const bool divided = service == std::string("keys");
+        content->services[gg::service_id(service)] = {gg::service_id(service), divided, 10};
+    }
+    const int before = grants_of_b();
+    test.hosts[0]->part->set_catalogue(content);
+    test.run_for(300ms);
+    BOOST_TEST(test.stored_owner_is("b"));
+    BOOST_TEST(grants_of_b() > before);
+}
+
 // Guards against leases that no host renews after the coordinator is lost: another host must take
 // over within the duration of a lease.
 BOOST_AUTO_TEST_CASE(lost_coordinator_is_replaced_within_a_lease) {
