wire: a killed process resets connections with an unfinished answer

Now the connection is set to end with a reset until all of the answer has been given to the kernel. Passing the answer on with a length was weighed and not done: a server that breaks off in an orderly close would get a whole answer by our own statement (docs/incidents/mixed-answer-without-length.md).

answer_without_length_cut_by_a_kill_ends_with_a_reset failed before.

--- a/libs/wire/include/wire/stream.h
+++ b/libs/wire/include/wire/stream.h
@@ -86,6 +86,10 @@
     void set_reading(bool enabled);
     /// Closes at once; bytes that the system has not taken yet are lost.
     void close(close_mode mode = close_mode::orderly);
+    /// Lets the connection end with a reset unless `finish` completes: also if this process is
+    /// killed. For answers that end with the connection, since their receiver takes an orderly end
+    /// for the end of the answer.
+    void reset_unless_finished();
     /// Sends what is pending, closes the sending side, and closes the connection a short time
     /// later.
     /// @param closed  called when the connection is closed, with the number of discarded bytes
--- a/libs/wire/src/server.cpp
+++ b/libs/wire/src/server.cpp
@@ -72,6 +72,9 @@
             const bool close = next->close_after || next->reply.until_close ||
                                !next->content.keep_alive ||
                                (this->owner->closing && this->waiting.empty());
+            if (next->reply.until_close) {
+                this->socket->reset_unless_finished();
+            }
             this->socket->write(serialize(next->reply, next->content.method == "HEAD", close));
             next->reply = {};
             if (close) {
--- a/libs/wire/src/stream.cpp
+++ b/libs/wire/src/stream.cpp
@@ -56,13 +56,14 @@
     }
 }
 
-/// Makes each close of the socket reset the connection, also the one at the end of the process.
-void reset_on_close(uv_tcp_t& handle) {
+/// Sets whether each close of the socket resets the connection, also the one at the end of the
+/// process.
+void set_reset_on_close(uv_tcp_t& handle, bool enabled) {
     uv_os_fd_t descriptor = -1;
     // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): libuv's handle inheritance.
     if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle), &descriptor) == 0) {
-        const linger at_once{1, 0};
-        setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+        const linger option{enabled ? 1 : 0, 0};
+        setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &option, sizeof option);
     }
 }
 
@@ -141,7 +142,7 @@
             notify(this->discarded);
         }
         if (this->mode == close_mode::abortive) {
-            reset_on_close(this->handle);
+            set_reset_on_close(this->handle, true);
         }
         uv_close(this->as_handle(), [](uv_handle_t* closed) {
             const auto released = std::move(static_cast<state*>(closed->data)->self);
@@ -216,7 +217,7 @@
         }
         set_options(this->handle);
         if (this->mode == close_mode::abortive) {
-            reset_on_close(this->handle);
+            set_reset_on_close(this->handle, true);
         }
         this->start_reading();
         if (this->handlers.connected) {
@@ -317,6 +318,12 @@
     this->implementation->close();
 }
 
+void stream::reset_unless_finished() {
+    if (!this->implementation->closing) {
+        set_reset_on_close(this->implementation->handle, true);
+    }
+}
+
 void stream::finish(late_input input, std::function<void(std::size_t)> closed) {
     state& own = *this->implementation;
     if (own.closing || own.finishing) {
@@ -334,6 +341,9 @@
     const auto after_shutdown = [](uv_shutdown_t* request, int) {
         const auto keep = static_cast<state*>(request->data)->self;
         if (keep && !keep->closing) {
+            if (keep->mode == close_mode::orderly) {
+                set_reset_on_close(keep->handle, false);
+            }
             keep->linger_timer = keep->loop.call_after(linger_time, [keep] { keep->close(); });
         }
     };
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -180,6 +180,19 @@
         const ssize_t count = ::recv(this->descriptor, buffer.data(), buffer.size(), 0);
         return count <= 0 ? std::string() : std::string(buffer.data(), static_cast<size_t>(count));
     }
+    /// Reads to the end of the connection. Returns the number of bytes, and whether the peer closed
+    /// in order.
+    std::pair<std::size_t, bool> read_to_end() const {
+        std::array<char, 65'536> buffer{};
+        std::size_t received = 0;
+        for (;;) {
+            const ssize_t count = ::recv(this->descriptor, buffer.data(), buffer.size(), 0);
+            if (count <= 0) {
+                return {received, count == 0};
+            }
+            received += static_cast<std::size_t>(count);
+        }
+    }
     bool closed_by_peer() const {
         char byte = 0;
         return ::recv(this->descriptor, &byte, 1, MSG_DONTWAIT) == 0;
@@ -951,6 +964,58 @@
     BOOST_TEST(bytes_after_kill(wire::close_mode::orderly) > body_size);
 }
 
+// Guards against an answer that is cut by the kill of this process and looks complete: without a
+// length, its receiver takes the orderly end of the connection for its own. Also guards against a
+// reset of the connection of an answer that has left whole.
+BOOST_AUTO_TEST_CASE(answer_without_length_cut_by_a_kill_ends_with_a_reset) {
+    constexpr std::size_t body_size = 8U << 20U;
+    for (const bool killed : {true, false}) {
+        std::array<int, 2> ports{};
+        BOOST_REQUIRE(::pipe(ports.data()) == 0);
+        const pid_t child = ::fork();
+        if (child == 0) {
+            wire::event_loop loop;
+            wire::server server(loop, [&](const std::shared_ptr<wire::incoming>& request) {
+                wire::response reply;
+                reply.code = 200;
+                reply.reason = "OK";
+                reply.until_close = true;
+                reply.body.assign(body_size, 'x');
+                request->answer(std::move(reply));
+                if (killed) {
+                    loop.call_after(gg::milliseconds{100}, [] { ::kill(::getpid(), SIGKILL); });
+                }
+            });
+            if (server.open({"127.0.0.1", 0})) {
+                ::_exit(1);
+            }
+            const std::uint16_t port = server.port();
+            if (::write(ports[1], &port, sizeof port) != sizeof port) {
+                ::_exit(1);
+            }
+            loop.call_after(test_limit, [&loop] { loop.stop(); });
+            loop.run();
+            ::_exit(0);
+        }
+        std::uint16_t port = 0;
+        BOOST_REQUIRE(::read(ports[0], &port, sizeof port) == sizeof port);
+        const blocking_caller caller(port);
+        caller.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        if (killed) {
+            BOOST_REQUIRE(::waitpid(child, nullptr, 0) == child);
+        }
+        const auto [received, orderly] = caller.read_to_end();
+        BOOST_TEST(orderly == !killed);
+        BOOST_TEST((received < body_size) == killed);
+        if (!killed) {
+            ::kill(child, SIGKILL);
+            BOOST_REQUIRE(::waitpid(child, nullptr, 0) == child);
+        }
+        ::close(ports[0]);
+        ::close(ports[1]);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(endpoints_are_checked) {
     BOOST_TEST(wire::parse_endpoint("10.1.0.10:8161").has_value());
     for (const char* text : {"", "10.1.0.10", "10.1.0.10:", "10.1.0:1", "h:1", "10.1.0.10:99999"}) {
