front: no answer ends a connection on which other requests wait

Cause: whether an answer without a length may be passed on was checked when it arrived, and not when a kept one was given later. Now the check stands in front::state::answer, through which each answer leaves; such an answer is replaced by 502, and answer_replaced is logged.

kept_answer_without_length_does_not_end_a_connection_with_other_requests failed before.

--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -297,6 +297,7 @@
                    : distance::other_region;
     }
 
+    wire::response make_failure(const active_request& active, int status);
     void accept(const std::shared_ptr<wire::incoming>& request);
     void start(const request_handle& active);
     server_choice choose_server(const active_request& active, service_pool& pool, time_point now);
@@ -1253,8 +1254,7 @@
         return;
     }
     if (message.until_close && !active->caller->is_alone()) {
-        // The body ends with the connection, so forwarding it would require closing the caller's
-        // connection and with it the other requests pipelined on it.
+        // It could not be passed on, see `answer`; another server may state a length.
         this->on_failure(active, wire::wire_errc::truncated, now);
         return;
     }
@@ -1503,17 +1503,30 @@
                    {"sends", active->attempts},
                    {"config", active->config->version}});
     this->failed_count.add();
+    this->answer(active, this->make_failure(*active, status));
+}
+
+/// Our own answer to a request whose outcome is a failure.
+wire::response front::state::make_failure(const active_request& active, int status) {
     wire::response message;
     message.code = status;
     message.reason = reason_phrase(status);
-    message.headers.push_back({this->names.request_id, active->id});
-    this->answer(active, std::move(message));
+    message.headers.push_back({this->names.request_id, active.id});
+    return message;
 }
 
+/// Answers the request. Each answer leaves through here, whatever made it.
 void front::state::answer(const request_handle& active, wire::response message) {
     if (active->done) {
         return;
     }
+    if (message.until_close && !active->caller->is_alone()) {
+        // The body ends with the connection, so forwarding it would require closing the caller's
+        // connection and with it the other requests pipelined on it.
+        this->log.add(active->trail, telemetry::level::warning, "answer_replaced",
+                      {{"server", active->current_server.value()}, {"status", message.code}});
+        message = this->make_failure(*active, code::bad_gateway);
+    }
     active->done = true;
     this->open.erase(active);
     this->loop.cancel(active->deadline_timer);
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -766,6 +766,64 @@
     BOOST_TEST(connections == 1);
 }
 
+// Guards against a request that is cut without an answer although its server works on it: the kept
+// answer to an earlier request has no length, and passing it on would end the connection of both.
+BOOST_AUTO_TEST_CASE(kept_answer_without_length_does_not_end_a_connection_with_other_requests) {
+    front_fixture test;
+    int first_attempts = 0;
+    std::vector<std::shared_ptr<wire::stream>> opened;
+    const auto serve = [&](std::shared_ptr<wire::stream> accepted) {
+        wire::stream_handlers handlers;
+        handlers.data = [&, stream = accepted.get()](std::string_view bytes) {
+            if (bytes.find("Own-Id: second") != std::string_view::npos) {
+                test.loop.call_after(700ms, [stream] {
+                    stream->write(
+                        "HTTP/1.1 200 OK\r\nOwn-Id: second\r\nOwn-Signature: s\r\n"
+                        "Content-Length: 2\r\n\r\nok");
+                });
+            } else if (bytes.find("Own-Id: first") == std::string_view::npos) {
+                stream->write(
+                    "HTTP/1.1 200 OK\r\nOwn-Id: r1\r\nOwn-Signature: s\r\n"
+                    "Content-Length: 2\r\n\r\nok");
+            } else if (++first_attempts == 1) {
+                stream->write("HTTP/1.1 500 Bad\r\nOwn-Id: first\r\nOwn-Signature: s\r\n\r\nbad");
+                stream->finish();
+            }
+        };
+        accepted->set_handlers(std::move(handlers));
+        opened.push_back(std::move(accepted));
+    };
+    wire::listener one(test.loop, serve);
+    wire::listener other(test.loop, serve);
+    BOOST_REQUIRE(!one.open({"127.0.0.1", 0}));
+    BOOST_REQUIRE(!other.open({"127.0.0.1", 0}));
+    test.add("s1", "plain", {"127.0.0.1", one.port()});
+    test.add("s2", "plain", {"127.0.0.1", other.port()});
+    // The budget grants retries in proportion to first attempts.
+    for (int count = 0; count < 40; ++count) {
+        BOOST_REQUIRE(test.ask("GET", "/safe/x").message.code == 200);
+    }
+    std::string received;
+    bool ended = false;
+    wire::stream_handlers handlers;
+    handlers.data = [&received](std::string_view bytes) { received += bytes; };
+    handlers.ended = [&ended](wire::stream_end) { ended = true; };
+    const auto caller =
+        wire::stream::connect(test.loop, {"127.0.0.1", test.entry->port()}, std::move(handlers));
+    const auto get = [&caller](const std::string& id, const std::string& deadline) {
+        caller->write("GET /safe/x HTTP/1.1\r\nHost: h\r\nOwn-Id: " + id +
+                      "\r\nOwn-Deadline: " + deadline + "\r\n\r\n");
+    };
+    test.loop.call_after(20ms, [&get] { get("first", "500"); });
+    test.loop.call_after(120ms, [&get] { get("second", "1500"); });
+    test.loop.call_after(1'300ms, [&test] { test.loop.stop(); });
+    test.loop.run();
+    BOOST_TEST(first_attempts == 2);
+    BOOST_TEST(received.rfind("HTTP/1.1 502", 0) == 0U);
+    BOOST_TEST(received.find("HTTP/1.1 200 OK") != std::string::npos);
+    BOOST_TEST(!ended);
+}
+
 // Guards against a safe request that fails although another server could run it.
 BOOST_AUTO_TEST_CASE(safe_request_is_repeated_at_another_server) {
     front_fixture test;
