wire: tell a full memory for responses from a faulty server

Found on reading the diff: when several servers filled the memory for responses, the call that came last failed with 1313, and its server was paused although it need not be at fault. It fails with 1314 now and is not paused. Also, keys that are freed because their owner refuses connections lose the handover of the owner before, which may be outdated.

one_peer_gets_no_more_than_a_part_of_the_budget tells the two results apart.

--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -1118,7 +1118,13 @@
 /// Handles an attempt that reached its server and brought nothing that counts as an answer.
 void front::state::on_no_answer(const request_handle& active, server_state* server,
                                 const status& error, time_point now) {
-    this->note_no_response(server, now);
+    if (server != nullptr && error == wire::wire_errc::response_too_large) {
+        const time_point before = server->paused_until;
+        record_excessive_response(*server, this->settings.balancer, now);
+        this->log_pause(*server, before, now);
+    } else {
+        this->note_no_response(server, now);
+    }
     active->may_have_run = true;
     this->on_failure(active, error, now);
 }
@@ -1131,7 +1137,7 @@
     }
     service_pool& pool = this->service_of(active->service, now);
     const auto found = pool.servers.find(active->current_server);
-    server_state* server = found == pool.servers.end() ? nullptr : &found->second;
+    server_state* const server = found == pool.servers.end() ? nullptr : &found->second;
     if (outcome.error && !outcome.sent) {
         this->log.add(active->trail, telemetry::level::warning, "server_unreachable",
                       {{"server", active->current_server.value()}, {"error", outcome.error}});
@@ -1152,12 +1158,6 @@
             // The answer was cut after its head.
             this->note_statement(active, outcome.message, now);
         }
-        if (server != nullptr && outcome.error == wire::wire_errc::response_too_large) {
-            const time_point before = server->paused_until;
-            record_excessive_response(*server, this->settings.balancer, now);
-            this->log_pause(*server, before, now);
-            server = nullptr;
-        }
         this->on_no_answer(active, server, outcome.error, now);
         return;
     }
--- a/libs/ranges/src/lease_manager.cpp
+++ b/libs/ranges/src/lease_manager.cpp
@@ -175,6 +175,10 @@
             // connections need be waited for.
             entry.state = phase::free;
             entry.unverified = false;
+            if (refused) {
+                // The owner may have had the keys, and its own token is not known.
+                entry.handover.clear();
+            }
         }
         if (entry.in_flight || now < entry.next_send || entry.state == phase::expiring ||
             entry.state == phase::free) {
--- a/libs/wire/include/wire/client.h
+++ b/libs/wire/include/wire/client.h
@@ -101,12 +101,12 @@
     void on_data(const std::shared_ptr<connection>& channel, std::string_view bytes);
     void on_end(const std::shared_ptr<connection>& channel, stream_end how);
     void complete(const std::shared_ptr<connection>& channel, std::string_view rest);
-    void fail(const std::shared_ptr<connection>& channel, wire_errc code);
+    void fail(const std::shared_ptr<connection>& channel, const status& code);
     void keep(const std::shared_ptr<connection>& channel, const response& message, time_point now);
     void drop(const std::shared_ptr<connection>& channel, close_mode mode = close_mode::orderly);
     void end_call(const std::shared_ptr<call>& ended, call_result outcome);
 
-    bool count_received(connection& channel, std::size_t received);
+    status count_received(connection& channel, std::size_t received);
     void forget_received(connection& channel);
 
     event_loop& loop;
--- a/libs/wire/include/wire/errors.h
+++ b/libs/wire/include/wire/errors.h
@@ -23,6 +23,7 @@
     timeout = 1311,
     truncated = 1312,
     response_too_large = 1313,
+    response_memory_full = 1314,
 };
 
 /// All codes of library wire.
--- a/libs/wire/include/wire/receive_budget.h
+++ b/libs/wire/include/wire/receive_budget.h
@@ -7,6 +7,15 @@
 
 namespace greengagechute::wire {
 
+/// What a `receive_budget` says to a change.
+enum class budget_result {
+    granted,
+    /// The peer would exceed its part.
+    peer_exceeded,
+    /// All peers together would exceed the budget.
+    total_exceeded,
+};
+
 /// Memory for responses that are being received, shared by the clients of a process. No peer may
 /// take more than a part of it, so that one faulty server does not fail the calls to the others.
 class receive_budget {
@@ -19,8 +28,8 @@
     explicit receive_budget(std::size_t total = default_bytes);
 
     /// Changes what is kept for one response of `peer` from `before` to `after` bytes.
-    /// @return false, with nothing changed, if the peer or all together would exceed their share
-    bool resize(const endpoint& peer, std::size_t before, std::size_t after);
+    /// Nothing is changed unless it is granted.
+    budget_result resize(const endpoint& peer, std::size_t before, std::size_t after);
     /// Bytes kept for all peers.
     std::size_t used() const { return this->sum; }
 
--- a/libs/wire/src/client.cpp
+++ b/libs/wire/src/client.cpp
@@ -168,17 +168,24 @@
     channel->socket->write(std::move(started->bytes));
 }
 
-/// Counts bytes that were received for the current call and read by the parser. Returns false if
-/// they exceed the bounds.
-bool client::count_received(connection& channel, std::size_t received) {
+/// Counts bytes that were received for the current call and read by the parser.
+/// @return an error if they exceed the bounds
+status client::count_received(connection& channel, std::size_t received) {
     channel.received += received;
+    if (channel.received > this->bounds.call_bytes) {
+        return wire_errc::response_too_large;
+    }
     const std::size_t kept = channel.parser.kept_bytes();
-    if (channel.received > this->bounds.call_bytes ||
-        !this->bounds.budget->resize(channel.address, channel.kept, kept)) {
-        return false;
+    switch (this->bounds.budget->resize(channel.address, channel.kept, kept)) {
+        case budget_result::peer_exceeded:
+            return wire_errc::response_too_large;
+        case budget_result::total_exceeded:
+            return wire_errc::response_memory_full;
+        case budget_result::granted:
+            break;
     }
     channel.kept = kept;
-    return true;
+    return {};
 }
 
 void client::forget_received(connection& channel) {
@@ -202,8 +209,8 @@
                 channel->parser.error() == make_error_code(wire_errc::header_too_large);
             this->fail(channel,
                        too_large ? wire_errc::response_too_large : wire_errc::malformed_response);
-        } else if (!this->count_received(*channel, used)) {
-            this->fail(channel, wire_errc::response_too_large);
+        } else if (const status excess = this->count_received(*channel, used)) {
+            this->fail(channel, excess);
         } else if (complete) {
             this->complete(channel, bytes);
         }
@@ -253,7 +260,7 @@
     }
 }
 
-void client::fail(const std::shared_ptr<connection>& channel, wire_errc code) {
+void client::fail(const std::shared_ptr<connection>& channel, const status& code) {
     const auto failed = channel->current;
     channel->current = nullptr;
     this->forget_received(*channel);
--- a/libs/wire/src/errors.cpp
+++ b/libs/wire/src/errors.cpp
@@ -21,6 +21,7 @@
     error_entry{1311, "timeout", "no complete response arrived in time"},
     error_entry{1312, "truncated", "the peer closed before the response was complete"},
     error_entry{1313, "response_too_large", "the peer sent more than the limit for a response"},
+    error_entry{1314, "response_memory_full", "the responses being received fill their memory"},
 };
 
 }  // namespace
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -712,16 +712,16 @@
     wire::receive_budget budget(1'000);
     const wire::endpoint faulty{"127.0.0.1", 1};
     const wire::endpoint sound{"127.0.0.1", 2};
-    BOOST_TEST(budget.resize(faulty, 0, 300));
-    BOOST_TEST(budget.resize(faulty, 0, 300));
-    BOOST_TEST(!budget.resize(faulty, 300, 301));
+    BOOST_CHECK(budget.resize(faulty, 0, 300) == wire::budget_result::granted);
+    BOOST_CHECK(budget.resize(faulty, 0, 300) == wire::budget_result::granted);
+    BOOST_CHECK(budget.resize(faulty, 300, 301) == wire::budget_result::peer_exceeded);
     BOOST_TEST(budget.used() == 600U);
-    BOOST_TEST(budget.resize(sound, 0, 400));
-    BOOST_TEST(!budget.resize(sound, 400, 401));
-    BOOST_TEST(budget.resize(faulty, 300, 0));
-    BOOST_TEST(budget.resize(sound, 400, 600));
-    BOOST_TEST(budget.resize(faulty, 300, 0));
-    BOOST_TEST(budget.resize(sound, 600, 0));
+    BOOST_CHECK(budget.resize(sound, 0, 400) == wire::budget_result::granted);
+    BOOST_CHECK(budget.resize(sound, 400, 401) == wire::budget_result::total_exceeded);
+    BOOST_CHECK(budget.resize(faulty, 300, 0) == wire::budget_result::granted);
+    BOOST_CHECK(budget.resize(sound, 400, 600) == wire::budget_result::granted);
+    BOOST_CHECK(budget.resize(faulty, 300, 0) == wire::budget_result::granted);
+    BOOST_CHECK(budget.resize(sound, 600, 0) == wire::budget_result::granted);
     BOOST_TEST(budget.used() == 0U);
 }
 
