--- a/libs/wire/src/client.cpp
+++ b/libs/wire/src/client.cpp
@@ -66,7 +66,7 @@
 
 client::client(event_loop& owner, idle_limits idle_rules, response_limits response_bounds,
                close_mode idle_mode)
-    : loop(owner), limits(idle_rules), bounds(response_bounds), mode(idle_mode) {}
+    : loop(owner), limits(idle_rules), bounds(std::move(response_bounds)), mode(idle_mode) {}
 
 client::~client() {
     for (auto& [id, open_call] : this->calls) {
