wire: drop the trailers of a request

Found by fuzzing: header lines behind the body of a request were sent on as headers, without the checks of a head. A caller could so send a second Host, or a name that only this host sets. They are dropped now. trailers_of_a_request_are_not_headers failed before by its input: the fuzzer's property that a request is sent on and read as the same one failed with it.

--- a/libs/wire/src/message.cpp
+++ b/libs/wire/src/message.cpp
@@ -66,6 +66,8 @@
     bool headers_done = false;
     bool complete = false;
     bool no_body = false;
+    /// Header lines after the body are read and not kept.
+    bool drops_trailers = false;
     bool has_body = false;
     std::error_code failure;
 
@@ -90,6 +92,8 @@
         return callback_failed;
     }
 
+    bool is_dropped_trailer() const { return this->headers_done && this->drops_trailers; }
+
     int count_header(std::size_t size) {
         this->header_size += size;
         return this->limits.header_bytes != 0 && this->header_size > this->limits.header_bytes
@@ -163,6 +167,9 @@
     };
     settings.on_header_field = [](http_parser* parser, const char* at, std::size_t size) {
         collector& own = of(parser);
+        if (own.is_dropped_trailer()) {
+            return own.count_header(size);
+        }
         if (own.headers.empty() || own.value_seen) {
             own.headers.emplace_back();
             own.value_seen = false;
@@ -173,6 +180,9 @@
     };
     settings.on_header_value = [](http_parser* parser, const char* at, std::size_t size) {
         collector& own = of(parser);
+        if (own.is_dropped_trailer()) {
+            return own.count_header(size);
+        }
         own.value_seen = true;
         own.headers.back().value.append(at, size);
         return own.count_header(size);
@@ -348,6 +358,8 @@
     lift_parser_limit();
     http_parser_init(&this->implementation->parser, HTTP_REQUEST);
     this->implementation->parser.data = static_cast<collector*>(this->implementation.get());
+    // As headers, they would be sent on without the checks of a head, and could repeat its lines.
+    this->implementation->drops_trailers = true;
 }
 
 request_parser::~request_parser() = default;
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -553,6 +553,22 @@
     BOOST_TEST(received > large);
 }
 
+// Guards against header lines that a caller adds behind the body of its request, and which would be
+// sent on as part of the head: a second host, or a name that only this host may set.
+BOOST_AUTO_TEST_CASE(trailers_of_a_request_are_not_headers) {
+    const std::string bytes =
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n0\r\nHost: other\r\nExpected: x\r\n\r\n";
+    for (const std::size_t step : {bytes.size(), std::size_t{1}}) {
+        wire::request_parser parser;
+        wire::request read;
+        BOOST_REQUIRE(parse(parser, bytes, step, read));
+        BOOST_TEST(read.body == "abc");
+        BOOST_TEST(wire::header_values(read.headers, "Host").size() == 1U);
+        BOOST_TEST(wire::find_header(read.headers, "Expected") == nullptr);
+    }
+}
+
 // Guards against memory that grows without bound while a faulty server sends bytes without end.
 BOOST_AUTO_TEST_CASE(answers_without_end_are_given_up) {
     const std::string line = "X-Endless: " + std::string(1'000, 'x') + "\r\n";
