gateway: find routes whose host has a port

Found by fuzzing: the port was left out of the host of a request, and not out of the host of a route, so that such a route was never found. longest_prefix_selects_the_route covers it.

--- a/libs/gateway/src/catalogue.cpp
+++ b/libs/gateway/src/catalogue.cpp
@@ -14,18 +14,23 @@
     return lowered;
 }
 
+/// The host without its port, in lower case.
+std::string host_name(std::string_view host) {
+    return lower_case(host.substr(0, host.find(':')));
+}
+
 }  // namespace
 
 void index_routes(catalogue& content) {
     content.by_host.clear();
     for (std::size_t position = 0; position < content.routes.size(); ++position) {
         const route& entry = content.routes[position];
-        content.by_host[lower_case(entry.host)][entry.prefix] = position;
+        content.by_host[host_name(entry.host)][entry.prefix] = position;
     }
 }
 
 const route* find_route(const catalogue& content, std::string_view host, std::string_view target) {
-    const auto routes = content.by_host.find(lower_case(host.substr(0, host.find(':'))));
+    const auto routes = content.by_host.find(host_name(host));
     if (routes == content.by_host.end()) {
         return nullptr;
     }
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -360,6 +360,10 @@
     BOOST_TEST(find_route(content, "host.example", "/a/bc")->prefix == "/a/");
     BOOST_TEST(find_route(content, "host.example", "/x")->prefix == "/");
     BOOST_TEST((find_route(content, "other.example", "/a/b/c") == nullptr));
+    // A configured host with a port is found like one without.
+    content.routes.front().host = "With-Port.example:8080";
+    index_routes(content);
+    BOOST_TEST((find_route(content, "with-port.example", "/a/b/c/d/e") != nullptr));
 }
 
 BOOST_AUTO_TEST_CASE(services_are_chosen_by_weight) {
