ranges: a refused connection raises the fences of the server's leases

Found on reading the diff: since a server that refuses connections is asked again within its lease, a process that has been started again under the same id would get a renewal with the fence of its former run.

--- a/libs/ranges/include/ranges/lease_manager.h
+++ b/libs/ranges/include/ranges/lease_manager.h
@@ -220,6 +220,7 @@
                        time_point now);
     void record_failure(lease& failed, time_point now);
     static void free_immediately(lease& entry, time_point now);
+    void raise_fences_of(const server_instance& owner);
     bool may_gain_keys(const candidate& server) const;
     void merge_adjacent_leases(time_point now);
     std::map<server_instance, double> loads_by_server(const key_load& load) const;
--- a/libs/ranges/src/lease_manager.cpp
+++ b/libs/ranges/src/lease_manager.cpp
@@ -225,6 +225,17 @@
     entry.handover.clear();
 }
 
+/// Gives all leases of a server a new fence. The next connection may reach a process that has been
+/// started again under the same id, and whose tokens must be above those of its former run.
+void lease_manager::raise_fences_of(const server_instance& owner) {
+    for (lease& entry : this->leases) {
+        if (entry.owner == owner && entry.state == phase::held) {
+            entry.fence = this->next_fence;
+        }
+    }
+    this->next_fence = this->next_fence.next();
+}
+
 bool lease_manager::may_gain_keys(const candidate& server) const {
     return server.accepts && server.registered && !this->unreachable.contains(server.instance);
 }
@@ -274,6 +285,7 @@
             return;
         case command_outcome::refused:
             // A refusal takes no time, so the command can be repeated until the lease expires.
+            this->raise_fences_of(entry.owner);
             entry.next_send = now + retry_delay;
             if (++entry.refusals >= max_routable_refusals) {
                 entry.routable = false;
--- a/libs/ranges/tests/ranges_test.cpp
+++ b/libs/ranges/tests/ranges_test.cpp
@@ -526,6 +526,45 @@
     BOOST_TEST(!setup.commit());
 }
 
+// Guards against a server that is started again under its id and gets its keys with the fence of
+// its former run, also those whose renewal did not meet a refused connection.
+BOOST_AUTO_TEST_CASE(refused_connection_raises_all_fences_of_the_server) {
+    fixture setup(servers({"a", "b", "c"}));
+    // The keys of `c` go to `a` and `b`, so that each has two leases.
+    auto candidates = servers({"a", "b", "c"});
+    candidates[2].accepts = false;
+    setup.manager.set_candidates(candidates, setup.now);
+    setup.now += setup.settings.release_delay;
+    setup.answer_all(ranges::command_outcome::done);
+    BOOST_REQUIRE(setup.commit());
+    setup.answer_all(ranges::command_outcome::done);
+    std::map<std::string, gg::epoch> highest;
+    const auto next_grants = [&setup] {
+        setup.now += setup.settings.renew_interval;
+        return setup.manager.due_commands(setup.now);
+    };
+    auto grants = next_grants();
+    bool refused = false;
+    for (const ranges::lease_command& command : grants) {
+        gg::epoch& known = highest[command.server.id.value()];
+        known = std::max(known, command.fence);
+        const bool refuses = command.server.id.value() == "a" && !refused;
+        refused = refused || refuses;
+        setup.manager.record_outcome(
+            command.lease,
+            refuses ? ranges::command_outcome::refused : ranges::command_outcome::done, "",
+            setup.now);
+    }
+    BOOST_REQUIRE(refused);
+    int renewed = 0;
+    for (const ranges::lease_command& command : next_grants()) {
+        const std::string& server = command.server.id.value();
+        BOOST_TEST((command.fence > highest[server]) == (server == "a"));
+        renewed += server == "a" ? 1 : 0;
+    }
+    BOOST_TEST(renewed >= 1);
+}
+
 // Guards against keys that go back and forth between failed servers: a crashed one is registered
 // for seconds, and has the least load of all.
 BOOST_AUTO_TEST_CASE(server_that_cannot_be_reached_gets_no_keys) {
