--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -621,8 +621,8 @@
 }
 
 // Guards against a process that runs out of memory, and against calls to sound servers that fail,
-// while a faulty server sends bytes without end: in each part of an answer, to requests and to
-// orders, which two clients send.
+// while a faulty peer sends bytes without end: in each part of an answer, to requests, orders,
+// calls of the store and reports to other hosts, each of which has a client of its own.
 BOOST_AUTO_TEST_CASE(memory_is_bounded_while_a_server_sends_bytes_without_end) {
     constexpr int calls = 64;
     constexpr std::size_t max_growth = 64U << 20U;
@@ -674,6 +674,11 @@
         wire::response_limits limits;
         wire::client requests(loop, {}, limits);
         wire::client orders(loop, {}, limits, wire::close_mode::abortive);
+        wire::client store_calls(loop, {}, limits);
+        wire::client reports(loop, {}, limits);
+        const std::vector<std::pair<wire::client*, int>> calls_by_client{
+            {&requests, calls}, {&orders, calls}, {&store_calls, calls / 4}, {&reports, calls / 4}};
+        constexpr int all_calls = 2 * calls + 2 * (calls / 4);
         reset_peak_memory();
         const std::size_t before = peak_memory();
         int failed = 0;
@@ -682,12 +687,13 @@
         wire::call_options options;
         options.timeout = gg::milliseconds{20'000};
         const auto count_call = [&] {
-            if (failed + served == 4 * calls) {
+            if (failed + served == 2 * all_calls) {
                 loop.stop();
             }
         };
-        for (int count = 0; count < calls; ++count) {
-            for (wire::client* const client : {&requests, &orders}) {
+        for (const auto& entry : calls_by_client) {
+            wire::client* const client = entry.first;
+            for (int count = 0; count < entry.second; ++count) {
                 client->send({"127.0.0.1", faulty.port()}, get("/"), options,
                              [&](const wire::call_result& outcome) {
                                  BOOST_TEST(outcome.error);
@@ -707,8 +713,8 @@
         }
         loop.call_after(gg::milliseconds{30'000}, [&loop] { loop.stop(); });
         loop.run();
-        BOOST_TEST(failed == 2 * calls);
-        BOOST_TEST(served == 2 * calls);
+        BOOST_TEST(failed == all_calls);
+        BOOST_TEST(served == all_calls);
         BOOST_TEST(limits.budget->used() == 0U);
         BOOST_TEST(most_kept <= wire::receive_budget::default_bytes);
         const std::size_t growth = peak_memory() - before;
