--- a/tests/fuzz/main.cpp
+++ b/tests/fuzz/main.cpp
@@ -36,6 +36,13 @@
     int seconds = 0;
 };
 
+/// Takes over a text that popt has allocated.
+std::string take_text(char* text, std::string_view absent) {
+    const auto release = [](char* owned) { std::free(owned); };
+    const std::unique_ptr<char, decltype(release)> owned(text, release);
+    return std::string(text != nullptr ? text : absent);
+}
+
 std::string read_file(const files::path& path) {
     std::ifstream file(path, std::ios::binary);
     return {std::istreambuf_iterator<char>(file), {}};
@@ -141,14 +148,14 @@
     const std::unique_ptr<poptContext_s, decltype(release)> context(
         poptGetContext("fuzz", argc, const_cast<const char**>(argv), options, 0), release);
     const int code = poptGetNextOpt(context.get());
+    given.only = take_text(only, "");
+    given.corpus = take_text(corpus, "");
+    given.failures = take_text(failures, ".");
     if (code < -1 || seed < 0 || inputs < 0 || given.seconds < 0) {
         std::fprintf(stderr, "fuzz: %s\n",
                      code < -1 ? poptStrerror(code) : "numbers must not be negative");
         return 2;
     }
-    given.only = only != nullptr ? only : "";
-    given.corpus = corpus != nullptr ? corpus : "";
-    given.failures = failures != nullptr ? failures : ".";
     given.seed = static_cast<std::uint64_t>(seed);
     given.inputs = static_cast<std::uint64_t>(inputs);
     bool passed = true;
