--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -625,7 +625,7 @@
 // calls of the store and reports to other hosts, each of which has a client of its own.
 BOOST_AUTO_TEST_CASE(memory_is_bounded_while_a_server_sends_bytes_without_end) {
     constexpr int calls = 64;
-    constexpr std::size_t max_growth = 64U << 20U;
+    [[maybe_unused]] constexpr std::size_t max_growth = 64U << 20U;
     const std::string line = "X-Endless: " + std::string(1'000, 'x') + "\r\n";
     const std::string head = "HTTP/1.1 200 OK\r\n";
     const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
