--- a/tests/soak/hosts.cpp
+++ b/tests/soak/hosts.cpp
@@ -30,6 +30,7 @@
         std::vector<std::string>{this->program, "--settings", this->settings_path},
         this->directory + "/" + this->host_name + ".log");
     this->state = run_state::serving;
+    this->disturbed(wire::event_loop::now());
 }
 
 void gateway_host::kill() {
@@ -41,12 +42,14 @@
 void gateway_host::terminate() {
     this->child->signal(SIGTERM);
     this->state = run_state::ending;
+    this->disturbed(wire::event_loop::now());
 }
 
 void gateway_host::pause(bool stop) {
     this->child->signal(stop ? SIGSTOP : SIGCONT);
     this->state = stop ? run_state::paused : run_state::serving;
     this->last_cut = wire::event_loop::now();
+    this->disturbed(this->last_cut);
 }
 
 void gateway_host::hang_up() const {
--- a/tests/soak/hosts.h
+++ b/tests/soak/hosts.h
@@ -31,6 +31,9 @@
     bool paused() const { return this->state == run_state::paused; }
     /// The process may cut requests: it was killed after that time, or is down.
     bool cut_since(time_point time) const { return this->last_cut >= time; }
+    /// The process, or its way to the store, was disturbed.
+    void disturbed(time_point now) { this->last_disturbed = now; }
+    bool disturbed_since(time_point time) const { return this->last_disturbed >= time; }
     const wire::endpoint& front() const { return this->callers_side; }
     const std::string& name() const { return this->host_name; }
     proxy& store_path() { return this->to_store; }
@@ -47,6 +50,7 @@
     std::unique_ptr<system_tests::process> child;
     run_state state = run_state::down;
     time_point last_cut;
+    time_point last_disturbed;
 };
 
 }  // namespace greengagechute::soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -33,6 +34,8 @@
     int gateways = 4;
     int servers = 6;
     int basic = 0;
+    int newer = 0;
+    int only_newer = 0;
 };
 
 constexpr milliseconds request_every{5};
@@ -51,8 +54,18 @@
 /// The limit for an answer without end is 16 MiB; the rest may lie in socket buffers.
 constexpr std::size_t most_poured = std::size_t{26} << 20U;
 constexpr int not_found = 404;
+/// `stableWindowS` and `configApplyS` of the users.
+constexpr milliseconds stable_window{3'000};
+constexpr milliseconds configuration_bound{2'000};
+constexpr milliseconds configuration_check_interval{100};
+/// A crashing request comes again and again, each time through another gateway.
+constexpr milliseconds crashing_request_interval{300};
+constexpr int crashing_request_repeats = 30;
 constexpr int nested_levels = 20'000;
 
+/// The newer faults have a sequence of their own, so that they do not change the others'.
+constexpr unsigned long newer_seed_offset = 1'000'003;
+
 /// Restored stores of one run.
 constexpr int most_restores = 2;
 /// Of each promise.
@@ -73,6 +86,7 @@
         : options(given),
           seed(given_seed),
           random(given_seed),
+          newer_random(given_seed + newer_seed_offset),
           directory(std::filesystem::temp_directory_path() /
                     ("greengagechute-soak-" + std::to_string(::getpid()) + "-" +
                      std::to_string(given_seed))) {
@@ -93,6 +107,10 @@
             std::printf("seed %lu: BROKEN off, another run has its address\n", this->seed);
             return false;
         }
+        this->seen.sent_in_touch = [this](const std::string& request) {
+            const auto sender = this->crash_senders.find(request);
+            return sender == this->crash_senders.end() || this->in_touch(*sender->second);
+        };
         this->write_configuration();
         for (const auto& server : this->servers) {
             server->start();
@@ -103,7 +121,21 @@
         const milliseconds faults = milliseconds(this->options.seconds * 1'000);
         this->loop.call_after(warm_up, [this] {
             this->ask();
-            this->next_fault();
+            if (this->options.only_newer == 0) {
+                this->next_fault();
+            }
+            if (this->options.newer != 0) {
+                // Gateways whose connections go silent are not judged for a while, so that some
+                // seeds play only one of the newer faults.
+                const unsigned long share = this->seed % 3;
+                if (share != 2) {
+                    this->silence_connections();
+                }
+                if (share != 1) {
+                    this->begin_crashing_request();
+                }
+                this->check_configuration();
+            }
         });
         this->loop.call_after(warm_up + faults, [this] { this->heal(); });
         this->loop.call_after(warm_up + faults + recovery, [this] { this->judging = true; });
@@ -155,6 +187,144 @@
             {"limits",
              json::object()}}.dump();
         this->store.put("op", "config", this->configuration);
+        this->configured_at = wire::event_loop::now();
+        this->checked_gateways.clear();
+    }
+
+    /// Neither the gateway nor the store was disturbed lately.
+    bool in_touch(const gateway_host& gateway) const {
+        const time_point since = wire::event_loop::now() - stable_window;
+        return gateway.serving() && !gateway.disturbed_since(since) &&
+               this->store_disturbed_at < since;
+    }
+
+    /// Asks each gateway that is in touch for the newest route once that has to be in force.
+    void check_configuration() {
+        if (this->healing) {
+            return;
+        }
+        this->loop.call_after(configuration_check_interval,
+                              [this] { this->check_configuration(); });
+        const time_point now = wire::event_loop::now();
+        for (const auto& gateway : this->gateways) {
+            if (now - this->configured_at > configuration_bound && this->in_touch(*gateway) &&
+                this->checked_gateways.insert(gateway.get()).second) {
+                this->check_newest_route(*gateway, "configuration in time", now);
+            }
+        }
+    }
+
+    void check_newest_route(gateway_host& gateway, const std::string& promise, time_point now) {
+        const std::string route = "v" + std::to_string(this->version);
+        wire::request message;
+        message.method = "GET";
+        message.target = "/" + route + "/x";
+        message.headers = {{"Host", "soak"},
+                           {"Request-Id", route + "-" + gateway.name() + "-in-time"},
+                           {"Deadline-Ms", std::to_string(caller_deadline.count())}};
+        wire::call_options call;
+        call.timeout = caller_deadline;
+        this->callers.send(
+            gateway.front(), message, call,
+            [this, &gateway, promise, route, now,
+             asked_for = this->version](const wire::call_result& outcome) {
+                if (asked_for == this->version && !gateway.disturbed_since(now) && !outcome.error &&
+                    outcome.message.code == not_found) {
+                    const auto age =
+                        std::chrono::duration_cast<milliseconds>(now - this->configured_at);
+                    this->seen.broken(promise, route + " is unknown to " + gateway.name() + " " +
+                                                   std::to_string(age.count()) +
+                                                   " ms after it was written");
+                }
+            });
+    }
+
+    int draw_newer(int below) {
+        return static_cast<int>(this->newer_random() % static_cast<unsigned>(below));
+    }
+
+    /// Open connections go silent for good, while new ones work: between gateways and the store, or
+    /// between gateways and servers. A configuration follows at once now and then.
+    void silence_connections() {
+        if (this->healing) {
+            return;
+        }
+        this->loop.call_after(milliseconds(500 + this->draw_newer(5'000)),
+                              [this] { this->silence_connections(); });
+        const int kind = this->draw_newer(3);
+        this->note(kind == 0   ? "silent connections to the store"
+                   : kind == 1 ? "silent connections to servers"
+                               : "silent connections to the store and to servers");
+        const time_point now = wire::event_loop::now();
+        this->seen.disturbed(now);
+        for (const auto& gateway : this->gateways) {
+            if (kind != 1 && this->draw_newer(4) != 0) {
+                gateway->store_path().silence();
+                gateway->disturbed(now);
+            }
+        }
+        for (const auto& server : this->servers) {
+            if (kind != 0 && this->draw_newer(4) != 0) {
+                server->stop_judging_pauses();
+                server->path().silence();
+            }
+        }
+        if (this->draw_newer(2) == 0) {
+            this->loop.call_after(milliseconds(50 + this->draw_newer(400)), [this] {
+                if (!this->healing) {
+                    this->note("configuration " + std::to_string(this->version + 1));
+                    this->write_configuration();
+                }
+            });
+        }
+    }
+
+    /// A request that ends each server that runs it comes again and again.
+    void begin_crashing_request() {
+        if (this->healing) {
+            return;
+        }
+        this->loop.call_after(milliseconds(6'000 + this->draw_newer(6'000)),
+                              [this] { this->begin_crashing_request(); });
+        const int kind = this->draw_newer(3);
+        const std::string target = std::string(kind == 0   ? "/plain"
+                                               : kind == 1 ? "/read"
+                                                           : "/credit") +
+                                   "/crash-" + std::to_string(++this->crashing_requests_begun);
+        this->note("requests for " + target + " end servers");
+        this->repeat_crashing_request(target, std::to_string(this->draw_newer(keys)),
+                                      crashing_request_repeats);
+    }
+
+    void repeat_crashing_request(const std::string& target, const std::string& key, int left) {
+        if (left == 0 || this->healing) {
+            return;
+        }
+        this->loop.call_after(crashing_request_interval, [this, target, key, left] {
+            this->repeat_crashing_request(target, key, left - 1);
+        });
+        gateway_host& gateway =
+            *this->gateways[static_cast<std::size_t>(left) % this->gateways.size()];
+        if (!gateway.serving()) {
+            return;
+        }
+        const std::string id = target + "-" + std::to_string(left);
+        this->crash_senders[id] = &gateway;
+        wire::request message;
+        message.method = target.starts_with("/credit") ? "POST" : "GET";
+        message.target = target;
+        message.headers = {{"Host", "soak"},
+                           {"Request-Id", id},
+                           {"Deadline-Ms", std::to_string(caller_deadline.count())},
+                           {"Shard-Key", key}};
+        wire::call_options call;
+        call.timeout = 2 * caller_deadline;
+        this->callers.send(gateway.front(), message, call,
+                           [this, id](const wire::call_result& outcome) {
+                               if (!outcome.error && outcome.message.code == 503) {
+                                   this->refused.push_back(id);
+                               }
+                           });
     }
 
     /// Asks each gateway for the route of the newest configuration and for one that it removed.
@@ -280,7 +450,7 @@
                 }
                 break;
             case 4:
-                this->disturb(host.store_path(), "store path of " + host.name());
+                this->disturb(host.store_path(), "store path of " + host.name(), &host);
                 break;
             case 5:
                 server.stop_judging_pauses();
@@ -387,13 +557,20 @@
         });
     }
 
-    void disturb(proxy& path, const std::string& name) {
+    /// @param host  the gateway whose way to the store it is; nullptr for a path to a server
+    void disturb(proxy& path, const std::string& name, gateway_host* host = nullptr) {
+        const auto note_disturbed = [this, host] {
+            this->seen.disturbed(wire::event_loop::now());
+            if (host != nullptr) {
+                host->disturbed(wire::event_loop::now());
+            }
+        };
         proxy_fault fault;
         const int kind = this->draw(5);
         if (kind == 0) {
             this->note("reset " + name);
             path.reset();
-            this->seen.disturbed(wire::event_loop::now());
+            note_disturbed();
             return;
         }
         fault.delay = milliseconds(kind == 1 ? 20 + this->draw(300) : 0);
@@ -404,23 +581,28 @@
                            : kind == 3 ? " cut backward"
                                        : " silent"));
         path.set_fault(fault);
-        this->seen.disturbed(wire::event_loop::now());
-        this->loop.call_after(milliseconds(500 + this->draw(4'000)), [this, &path] {
+        note_disturbed();
+        this->loop.call_after(milliseconds(500 + this->draw(4'000)), [this, &path, note_disturbed] {
             path.set_fault({});
             this->seen.forgive(wire::event_loop::now());
-            this->seen.disturbed(wire::event_loop::now());
+            note_disturbed();
         });
     }
 
+    void note_store_disturbed() {
+        this->store_disturbed_at = wire::event_loop::now();
+        this->seen.disturbed(this->store_disturbed_at);
+    }
+
     void disturb_store() {
         static constexpr std::array modes{store_mode::busy, store_mode::silent, store_mode::lossy};
         const int mode = this->draw(3);
         this->note(mode == 0 ? "store busy" : mode == 1 ? "store silent" : "store loses answers");
         this->store.set_mode(modes.at(static_cast<std::size_t>(mode)));
-        this->seen.disturbed(wire::event_loop::now());
+        this->note_store_disturbed();
         this->loop.call_after(milliseconds(500 + this->draw(5'000)), [this] {
             this->store.set_mode(store_mode::normal);
-            this->seen.disturbed(wire::event_loop::now());
+            this->note_store_disturbed();
         });
     }
 
@@ -435,13 +617,13 @@
             return;
         }
         ++this->restores;
-        this->seen.disturbed(wire::event_loop::now());
+        this->note_store_disturbed();
         this->note("store away for " + std::to_string(outage.count()) + " ms, " +
                    (busy ? "busy" : "silent") + ", then restored from a copy of " +
                    std::to_string(age.count()) + " ms");
         this->store.restore(age, outage, busy ? store_mode::busy : store_mode::silent, [this] {
             this->note("store is back");
-            this->seen.disturbed(wire::event_loop::now());
+            this->note_store_disturbed();
             this->loop.call_after(milliseconds(20 + this->draw(200)),
                                   [this] { this->store.put("op", "config", this->configuration); });
             for (const auto& server : this->servers) {
@@ -596,6 +778,9 @@
             "seed %lu: %d requests, %zu refused, %d of %d served at the end, %zu faults: %s\n",
             this->seed, this->asked, this->refused.size(), this->served_in_end, this->asked_at_end,
             this->events.size(), good ? "kept" : "BROKEN");
+        if (this->options.newer != 0) {
+            std::printf("  crashing requests: %s\n", this->seen.crashes().summary().c_str());
+        }
         if (good) {
             std::filesystem::remove_all(this->directory);
             return true;
@@ -619,6 +804,7 @@
     soak_options options;
     unsigned long seed;
     std::mt19937_64 random;
+    std::mt19937_64 newer_random;
     std::filesystem::path directory;
     wire::event_loop loop;
     /// Holds the address of this seed, so that two runs do not mix.
@@ -638,6 +824,13 @@
     int cut = 0;
     int asked_at_end = 0;
     int served_in_end = 0;
+    time_point store_disturbed_at;
+    time_point configured_at;
+    /// Gateways that were asked for the newest configuration in time.
+    std::set<const gateway_host*> checked_gateways;
+    int crashing_requests_begun = 0;
+    /// The gateway to which each request was sent that ends servers.
+    std::map<std::string, const gateway_host*> crash_senders;
     bool asking = true;
     bool judging = false;
     bool healing = false;
@@ -657,6 +850,10 @@
         {"servers", 'n', POPT_ARG_INT, &options.servers, 0, "servers (6)", "N"},
         {"basic", 'b', POPT_ARG_NONE, &options.basic, 0,
          "no restored store, faulty answers or odd rows", nullptr},
+        {"newer", 'm', POPT_ARG_NONE, &options.newer, 0,
+         "also silent connections, and requests that end servers", nullptr},
+        {"only-newer", 'o', POPT_ARG_NONE, &options.only_newer, 0, "with --newer: no other faults",
+         nullptr},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext("soak", argc, argv, table, 0);
     const int code = poptGetNextOpt(context);
--- a/tests/soak/proxy.cpp
+++ b/tests/soak/proxy.cpp
@@ -154,6 +154,12 @@
     }
 }
 
+void proxy::silence() {
+    for (const auto& one : this->pairs) {
+        one->silent = true;
+    }
+}
+
 void proxy::reset() {
     for (const auto& one : this->pairs) {
         close(*one);
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -38,6 +38,8 @@
     void set_listening(bool enabled);
     /// Closes all connections.
     void reset();
+    /// Loses what is sent on the open connections from now on, without closing them; new ones work.
+    void silence();
     /// The most bytes that left towards one caller in an answer whose head, or body, has no end.
     std::size_t most_of_heads() const { return this->taken_of_heads; }
     std::size_t most_of_bodies() const { return this->taken_of_bodies; }
--- a/tests/soak/servers.cpp
+++ b/tests/soak/servers.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds thaw_slack{300};
 /// Longest fault of a path or server, and the time in which held-up requests still arrive.
 constexpr milliseconds longest_disturbance{8'000};
+constexpr milliseconds time_to_crash{3};
+constexpr milliseconds restart_after_crash{2'000};
 constexpr int clock_slow_percent = 2;
 constexpr int percent = 100;
 constexpr int misdirected = 421;
@@ -297,6 +299,13 @@
                                                             wire::event_loop::now())) {
         this->seen.broken("server statements", *broken);
     }
+    const std::string& target = request->message().target;
+    if (crashing_requests::crashes(target)) {
+        if (const auto broken = this->seen.crashes().reached(
+                target, this->seen.sent_in_touch(next.request_id), wire::event_loop::now())) {
+            this->seen.broken("crashing requests", *broken);
+        }
+    }
     if (this->defect == server_defect::asks_pauses && this->random() % 8 == 0) {
         this->turn_away(next);
         return;
@@ -361,6 +370,10 @@
 void keyed_server::run(job next) {
     ++this->running;
     this->seen.began(next.request_id, next.safe, this->id);
+    if (crashing_requests::crashes(next.request->message().target)) {
+        this->crash_by(next.request->message().target);
+        return;
+    }
     const bool is_long = this->random() % 40 == 0;
     const milliseconds work(static_cast<std::int64_t>(5 + this->random() % 40) *
                             (is_long ? 10 : 1));
@@ -368,6 +381,22 @@
         work, [this, next = std::move(next), own = this->life] { this->finish(next, own); });
 }
 
+/// Ends the server shortly after it has begun to run the request, and starts it again.
+void keyed_server::crash_by(const std::string& target) {
+    this->loop.call_after(time_to_crash, [this, target, own = this->life] {
+        if (own != this->life) {
+            return;
+        }
+        this->seen.crashes().server_ended(target, wire::event_loop::now());
+        this->crash();
+        this->loop.call_after(restart_after_crash, [this] {
+            if (!this->up()) {
+                this->start();
+            }
+        });
+    });
+}
+
 void keyed_server::finish(const job& done, int own) {
     if (own != this->life) {
         return;
--- a/tests/soak/servers.h
+++ b/tests/soak/servers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crashing_requests.h"
 #include "proxy.h"
 #include "statements.h"
 #include "stores.h"
@@ -45,6 +46,9 @@
 
     /// What servers have said of themselves.
     statement_ledger& statements() { return this->stated; }
+    crashing_requests& crashes() { return this->crashing; }
+    /// Set by the run: whether the gateway that sent the request has not been disturbed lately.
+    std::function<bool(const std::string& request)> sent_in_touch;
 
     /// Checks the fence of a grant against all under which other servers had its keys.
     /// @param holder  names one life of a server
@@ -59,6 +63,7 @@
     time_point last_disturbed;
     std::set<std::string> without_end;
     statement_ledger stated;
+    crashing_requests crashing;
     struct taking {
         std::uint64_t fence = 0;
         std::string holder;
@@ -129,6 +134,7 @@
     void order(const std::shared_ptr<wire::incoming>& request, time_point arrived, bool grant);
     void accept(const std::shared_ptr<wire::incoming>& request);
     void run(job next);
+    void crash_by(const std::string& target);
     void finish(const job& done, int life);
     bool holds_key(std::uint32_t key, time_point now) const;
     void remove_range(std::uint32_t first, std::uint32_t last);
