gateway: log how old a belief was when its watch failed, and what a failed request asked for

The logs could not tell whether a configuration was late because its watch waited on a silent connection, because a second call met another one, or because it was applied late; and the attempts of a request that comes again under another id could not be joined.

store_watch_lost has the time for which the call had waited and the age of the content, store_watch_regained the length of the failure and the number of failed calls, configuration_in_force the row version and the age of the call that brought it; attempt_failed a hash of what the request asked for. No logic has changed.

--- a/libs/gateway/include/gateway/table_watch.h
+++ b/libs/gateway/include/gateway/table_watch.h
@@ -27,6 +27,8 @@
     /// Earliest time at which the changes can have happened; the time of the answer if the watch
     /// was not paused before.
     time_point since;
+    /// Time from the call that brought the content to its answer.
+    milliseconds waited{0};
 };
 
 /// Follows a table of the store: reads it completely, then long-polls for changes. Failed calls are
@@ -85,7 +87,11 @@
     milliseconds max_wait;
     update_handler handler;
     store_version version;
+    /// When the last call was made.
+    time_point asked_at;
     std::optional<time_point> last_answer;
+    /// Time of the first of the failures since the last answer.
+    time_point failing_since;
     /// Time at which the content was last known to be complete.
     time_point complete_at;
     int failures = 0;
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -3,6 +3,7 @@
 #include "admission/request_share.h"
 #include "admission/retry_budget.h"
 #include "gateway/errors.h"
+#include "gateway/request_fingerprint.h"
 
 #include <algorithm>
 #include <array>
@@ -1359,7 +1360,8 @@
                    {"reason", error.message()},
                    {"attempt", active->attempts},
                    {"took", age_of(active->sent_at, now)},
-                   {"again", again}});
+                   {"again", again},
+                   {"content", to_text(fingerprint_of(active->message, this->names.key))}});
     active->tried_servers.insert(active->current_server);
     if (again) {
         this->requeue(active, milliseconds{0}, now);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -244,6 +244,8 @@
             index_routes(*read);
             telemetry::log_info(this->log, "configuration_in_force",
                                 {{"version", read->version},
+                                 {"row_version", row.version.number},
+                                 {"waited", update.waited},
                                  {"routes", read->routes.size()},
                                  {"services", read->services.size()},
                                  {"idle_limit", read->limits.idle_timeout}});
--- a/libs/gateway/src/table_watch.cpp
+++ b/libs/gateway/src/table_watch.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds min_retry_delay{150};
 /// Half of the time within which a change must take effect.
 constexpr milliseconds max_retry_delay{600};
+/// Logged as the age of content that the store has never given.
+constexpr milliseconds never_confirmed{-1};
 
 }  // namespace
 
@@ -36,11 +38,17 @@
 void table_watch::on_failure(const status& error) {
     ++this->failures;
     if (this->failures == 1) {
+        const time_point now = wire::event_loop::now();
+        this->failing_since = now;
         telemetry::log_warning(this->log, "store_watch_lost",
                                {{"table", this->table},
                                 {"error", error},
                                 {"reason", error.message()},
-                                {"version", this->version.number}});
+                                {"version", this->version.number},
+                                {"waited", std::chrono::floor<milliseconds>(now - this->asked_at)},
+                                {"confirmed", this->last_answer ? std::chrono::floor<milliseconds>(
+                                                                      now - *this->last_answer)
+                                                                : never_confirmed}});
     }
     const milliseconds pause =
         std::min(max_retry_delay, min_retry_delay * (1 << std::min(this->failures - 1, 4)));
@@ -79,10 +87,15 @@
     table_update update;
     update.after_outage = this->failures > 0;
     update.since = this->was_paused ? this->complete_at : now;
+    update.waited = std::chrono::floor<milliseconds>(now - this->asked_at);
     if (update.after_outage) {
         telemetry::log_info(
             this->log, "store_watch_regained",
-            {{"table", this->table}, {"version", newest.number}, {"era", newest.era}});
+            {{"table", this->table},
+             {"version", newest.number},
+             {"era", newest.era},
+             {"lost_for", std::chrono::floor<milliseconds>(now - this->failing_since)},
+             {"failures", this->failures}});
     }
     this->failures = 0;
     this->last_answer = now;
@@ -93,6 +106,7 @@
 
 void table_watch::read() {
     const std::uint64_t call = ++this->last_call;
+    this->asked_at = wire::event_loop::now();
     this->store.read(this->table, [this, call](result<table_content> answer) {
         if (call != this->last_call) {
             return;
@@ -161,6 +175,7 @@
     const bool at_once = std::exchange(this->poll_requested, false) || this->failures > 0;
     const milliseconds longest = at_once ? probe_wait : this->max_wait;
     const std::uint64_t call = ++this->last_call;
+    this->asked_at = wire::event_loop::now();
     this->store.watch(this->table, this->version, longest,
                       [this, call](result<table_content> answer) {
                           if (call != this->last_call) {
