--- a/libs/gateway/tests/host_test.cpp
+++ b/libs/gateway/tests/host_test.cpp
@@ -38,6 +38,9 @@
 constexpr const char* catalogue_row = "current";
 constexpr const char* server_table = "servers";
 constexpr gg::milliseconds call_limit{3'000};
+/// Bounds of the users' platform: `configApplyS` and `drainS`.
+constexpr gg::milliseconds configuration_bound{2'000};
+constexpr gg::milliseconds drain_bound{2'000};
 
 /// A port that no other socket uses at the moment.
 std::uint16_t free_port(wire::event_loop& loop) {
@@ -133,7 +136,7 @@
     }
 
     /// Lets the store name a coordinator whose answers the test sets.
-    void start_coordinator() {
+    void start_coordinator(int term = 1) {
         this->coordinator = std::make_unique<wire::server>(
             this->loop, [this](const std::shared_ptr<wire::incoming>& asked) {
                 BOOST_REQUIRE(decode(asked->message().body, this->reports.emplace_back()));
@@ -144,7 +147,8 @@
             });
         BOOST_REQUIRE(!this->coordinator->open({"127.0.0.1", 0}));
         this->store.put(std::string(gateway::term_table), "coordinator",
-                        R"({"term":1,"host":"other/1","address":"127.0.0.1:)" +
+                        R"({"term":)" + std::to_string(term) +
+                            R"(,"host":"other/1","address":"127.0.0.1:)" +
                             std::to_string(this->coordinator->port()) + "\"}");
     }
     /// The coordinator's process is lost: connections to it are refused.
@@ -291,6 +295,59 @@
     BOOST_TEST(test.ask("/new/x") != 404);
 }
 
+// Guards against a configuration that a host learns late because the call by which it watches it
+// waits on a connection that has gone silent, and the coordinator does not confirm what it has.
+BOOST_AUTO_TEST_CASE(silent_watch_does_not_delay_a_configuration) {
+    host_fixture test;
+    test.start_coordinator();
+    test.start_host();
+    test.run_for(1s);
+    test.drop_pending_watches();
+    test.store.put(catalogue_table, catalogue_row, "2");
+    test.run_for(configuration_bound);
+    BOOST_TEST(test.ask("/new/x") != 404);
+}
+
+// Guards against a coordinator whose own watch is silent, so that no host learns a configuration.
+BOOST_AUTO_TEST_CASE(silent_watch_of_the_coordinator_does_not_delay_a_configuration) {
+    host_fixture test;
+    test.start_host();
+    test.run_for(1s);
+    test.drop_pending_watches();
+    test.store.put(catalogue_table, catalogue_row, "2");
+    test.run_for(configuration_bound);
+    BOOST_TEST(test.ask("/new/x") != 404);
+}
+
+// Guards against requests to a server that left while the watch of the servers was silent and the
+// coordinator relayed none.
+BOOST_AUTO_TEST_CASE(silent_watch_does_not_hide_that_a_server_leaves) {
+    host_fixture test;
+    test.start_coordinator();
+    test.add_plain_server(1ms);
+    test.start_host();
+    test.run_for(1s);
+    test.drop_pending_watches();
+    test.store.put(server_table, "p", "plain " + std::to_string(test.plain->port()) + " draining");
+    test.run_for(drain_bound);
+    wire::client caller(test.loop, {});
+    test.post(caller, "late");
+    test.run_for(300ms);
+    BOOST_TEST(!test.run_requests.contains("late"));
+}
+
+// Guards against a deposed coordinator that goes on renewing leases and telling owners because its
+// watch of the term is silent.
+BOOST_AUTO_TEST_CASE(silent_watch_does_not_hide_another_coordinator) {
+    host_fixture test;
+    test.start_host();
+    test.run_for(1s);
+    test.drop_pending_watches();
+    test.start_coordinator(7);
+    test.run_for(2'500ms);
+    BOOST_TEST(!test.reports.empty());
+}
+
 // Guards against two owners of a key: a server that closed its listener, or resets connections, may
 // still work under a lease of the former coordinator. A refused connection must not free its keys.
 BOOST_AUTO_TEST_CASE(refused_connections_after_a_takeover_free_no_keys_early) {
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -21,6 +21,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -861,6 +862,51 @@
     BOOST_TEST(client.opened() == 2U);
 }
 
+// Guards against calls that time out one after the other: all kept connections to a peer went
+// silent together, and each call that follows a failed one is sent on another of them.
+BOOST_AUTO_TEST_CASE(silent_connections_cost_one_call) {
+    wire::event_loop loop;
+    wire::client client(loop, {});
+    std::vector<std::shared_ptr<wire::stream>> accepted;
+    std::set<const wire::stream*> silenced;
+    wire::listener peer(loop, [&](const std::shared_ptr<wire::stream>& opened) {
+        accepted.push_back(opened);
+        wire::stream_handlers handlers;
+        handlers.data = [&, own = opened.get()](std::string_view) {
+            if (!silenced.contains(own)) {
+                loop.call_after(gg::milliseconds{5}, [own] {
+                    own->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                });
+            }
+        };
+        opened->set_handlers(std::move(handlers));
+    });
+    BOOST_REQUIRE(!peer.open({"127.0.0.1", 0}));
+    const wire::endpoint address{"127.0.0.1", peer.port()};
+    constexpr int connections = 4;
+    int answered = 0;
+    for (int count = 0; count < connections; ++count) {
+        client.send(address, get("/"), {}, [&](const wire::call_result& outcome) {
+            BOOST_TEST(!outcome.error);
+            if (++answered == connections) {
+                loop.stop();
+            }
+        });
+    }
+    loop.run();
+    BOOST_REQUIRE(client.opened() == connections);
+    for (const auto& one : accepted) {
+        silenced.insert(one.get());
+    }
+    wire::call_options options;
+    options.timeout = gg::milliseconds{100};
+    BOOST_TEST((call(loop, client, address, get("/"), options).error ==
+                wire::make_error_code(wire::wire_errc::timeout)));
+    const wire::call_result next = call(loop, client, address, get("/"), options);
+    BOOST_TEST(!next.error);
+    BOOST_TEST(!next.reused);
+}
+
 // Guards against odd bytes of a caller or a server that end the process or stop a parser.
 BOOST_AUTO_TEST_CASE(mutated_messages_are_read_or_refused) {
     const std::string asked =
