wire: do not send on kept connections that went silent with that of a timed-out call

A coordinator whose connections to the store had all gone silent was without it for two calls, 3.5 s: the call that followed the failed one was sent on another kept connection, which was silent as well.

A call that times out without a byte in response now takes along the kept connections to the same peer on which nothing was heard since it was sent. A peer that answers on another connection keeps that one, so a single slow call costs no connection that works.

--- a/libs/wire/include/wire/client.h
+++ b/libs/wire/include/wire/client.h
@@ -72,7 +72,9 @@
 
 /// HTTP/1.1 client with connections that are used again. One exchange at a time on a connection; a
 /// request is never sent a second time. The connection of a call that ends without its response is
-/// reset, so that nothing of the request arrives later than the packets that are on their way.
+/// reset, so that nothing of the request arrives later than the packets that are on their way. If
+/// it timed out without a byte in response, the kept connections to the same peer that have not
+/// been heard since are not used again: what silenced one may have silenced all.
 class client {
 public:
     /// @param mode  how connections without a call are closed; with `abortive`, nothing of a
@@ -103,6 +105,7 @@
     void complete(const std::shared_ptr<connection>& channel, std::string_view rest);
     void fail(const std::shared_ptr<connection>& channel, const status& code);
     void keep(const std::shared_ptr<connection>& channel, const response& message, time_point now);
+    void drop_silent(const call& timed_out);
     void drop(const std::shared_ptr<connection>& channel, close_mode mode = close_mode::orderly);
     void end_call(const std::shared_ptr<call>& ended, call_result outcome);
 
--- a/libs/wire/src/client.cpp
+++ b/libs/wire/src/client.cpp
@@ -45,6 +45,7 @@
     timer_id connect_timeout = 0;
     std::shared_ptr<connection> channel;
     bool sent = false;
+    time_point sent_at;
     bool reused = false;
     std::optional<connection_id> used_connection;
 };
@@ -58,6 +59,8 @@
     bool connected = false;
     bool used = false;
     bool dropped = false;
+    /// Last time at which the peer was heard: the connection was established, or bytes arrived.
+    time_point heard_at;
     /// Bytes received for the current call, and the memory taken from the budget for it.
     std::size_t received = 0;
     std::size_t kept = 0;
@@ -101,6 +104,7 @@
     started->done = std::move(done);
     this->calls.emplace(started->id.value(), started);
     started->timeout = this->loop.call_after(options.timeout, [this, started] {
+        this->drop_silent(*started);
         call_result outcome;
         outcome.error = started->sent ? wire_errc::timeout : wire_errc::connect_timeout;
         this->end_call(started, std::move(outcome));
@@ -147,6 +151,7 @@
     stream_handlers handlers;
     handlers.connected = [this, channel] {
         channel->connected = true;
+        channel->heard_at = event_loop::now();
         if (channel->current) {
             this->loop.cancel(channel->current->connect_timeout);
             this->dispatch(channel, channel->current);
@@ -163,6 +168,7 @@
     channel->current = started;
     started->channel = channel;
     started->sent = true;
+    started->sent_at = event_loop::now();
     started->used_connection = channel->id;
     channel->parser.expect_no_body(started->head);
     channel->socket->write(std::move(started->bytes));
@@ -195,6 +201,7 @@
 }
 
 void client::on_data(const std::shared_ptr<connection>& channel, std::string_view bytes) {
+    channel->heard_at = event_loop::now();
     while (!bytes.empty() && !channel->dropped) {
         if (!channel->current) {
             // Nothing was asked for: the bytes belong to no request.
@@ -289,6 +296,25 @@
     channels.push_back(channel);
 }
 
+/// Closes the kept connections that may have gone silent together with the one of a call that timed
+/// out without a byte in response: those on which the peer was not heard since the call was sent.
+void client::drop_silent(const call& timed_out) {
+    if (!timed_out.sent || !timed_out.channel || timed_out.channel->heard_at > timed_out.sent_at) {
+        return;
+    }
+    const auto kept = this->idle.find(timed_out.address);
+    if (kept == this->idle.end()) {
+        return;
+    }
+    std::erase_if(kept->second, [&](const std::shared_ptr<connection>& channel) {
+        const bool suspect = channel->heard_at <= timed_out.sent_at;
+        if (suspect) {
+            this->drop(channel);
+        }
+        return suspect;
+    });
+}
+
 void client::drop(const std::shared_ptr<connection>& channel, close_mode how) {
     if (!channel->dropped) {
         channel->dropped = true;
