gateway: bound the age of the configuration, the servers and the coordinator that a host believes in

Callers saw requests handled by a replaced configuration up to 4.2 s after the acknowledgement of its successor, when open connections to the store had gone silent; the users' bound is 2 s.

Cause: what a host believes had no age. The call by which it watches a table waited on a silent connection until TCP keep-alive (4 s) or its own time (16.5 s) ended it, and the coordinator, which names the newest configuration, waited in the same way.

Now each table has a time at which it was last confirmed, by the store or by the coordinator, whose answers to reports carry the age of what it knows of the configuration and of its term, as they did for the servers. The coordinator lets the store confirm these tables each 0.5, 0.75 and 1.5 s; a host asks the store itself, on a new connection, when a table has been unconfirmed for 0.8 s longer than that. Calls after a failure, of a takeover and on request go out on new connections. A host takes over from a coordinator without store only if the store has answered the host itself meanwhile.

--- a/libs/gateway/include/gateway/coordinator.h
+++ b/libs/gateway/include/gateway/coordinator.h
@@ -131,6 +131,11 @@
     /// Version of the newest configuration row that this host has read; its number is 0 if it has
     /// read none.
     store_version catalogue;
+    /// Time since the store last told this host that there was no newer one; empty if it did not,
+    /// or in answers of earlier releases.
+    std::optional<milliseconds> catalogue_age;
+    /// Time since the store last told this host that it holds the term; empty as above.
+    std::optional<milliseconds> term_age;
     /// Number of hosts that have reported lately, including this one.
     int hosts = 1;
     std::uint64_t term = 0;
@@ -168,7 +173,11 @@
     /// A remote coordinator has sent changes of servers.
     std::function<void(const directory_update&)> servers_relayed;
     /// A remote coordinator has named the newest configuration row that it has read.
-    std::function<void(const store_version&)> catalogue_named;
+    /// @param age  time since the store told it that there was no newer one; empty if unknown
+    std::function<void(const store_version&, std::optional<milliseconds> age)> catalogue_named;
+    /// The coordinator that this host knows has confirmed its term.
+    /// @param age  time since the store told it so
+    std::function<void(milliseconds age)> term_confirmed;
     /// The store has stated an era above the known one.
     std::function<void(std::uint64_t)> store_era_changed;
     /// The number of live hosts is known anew.
@@ -177,6 +186,15 @@
     std::function<host_report()> collect_report;
 };
 
+/// When the store last told this host that it knows the newest content of its tables; empty for a
+/// table that it does not follow in the store, or whose last call failed.
+struct store_confirmations {
+    /// The servers. Bounds the age of relayed data; without it, this host relays none.
+    std::optional<time_point> servers;
+    std::optional<time_point> catalogue;
+    std::optional<time_point> term;
+};
+
 /// Leader election and key ownership. One host is the coordinator: it assigns the keys of divided
 /// services to servers and manages their leases. A row of the store holds its term. The other hosts
 /// report to it and receive owners and servers with its answers; if it fails, one of them takes
@@ -202,9 +220,7 @@
     void set_store_reachable(bool reachable);
     /// Sets the version of the newest configuration row that this host has read.
     void set_catalogue_version(const store_version& version);
-    /// Sets when the store last confirmed the directory, which bounds the age of relayed data;
-    /// empty if this host doesn't watch the servers in the store, and then it relays none.
-    void set_directory_confirmed_at(std::optional<time_point> when);
+    void set_confirmations(const store_confirmations& confirmed);
     /// Sets for how long changes of servers are batched before held reports are answered with them.
     void set_batch_delay(milliseconds pause);
     using answer_handler = std::function<void(const report_answer&)>;
--- a/libs/gateway/include/gateway/store.h
+++ b/libs/gateway/include/gateway/store.h
@@ -46,6 +46,14 @@
     unknown,
 };
 
+/// Connection on which a call to the store is made.
+enum class call_connection {
+    /// One that was kept from an earlier call, if there is one.
+    kept,
+    /// A new one, for calls after a sign that kept connections may have gone silent.
+    fresh,
+};
+
 /// Client of the platform's versioned table store.
 class table_store {
 public:
@@ -58,16 +66,18 @@
     virtual ~table_store() = default;
 
     /// Reads all rows of a table. Errors: `gateway_errc::store_unavailable`.
-    virtual void read(const std::string& table, content_handler done) = 0;
+    virtual void read(const std::string& table, call_connection connection,
+                      content_handler done) = 0;
     /// Long-polls for changes after a store version: answers as soon as there is one, or with no
     /// rows after `wait`. In a later era than that of `after`, the answer need not hold all
     /// changes. Errors: `gateway_errc::store_unavailable`, `gateway_errc::history_lost`.
     virtual void watch(const std::string& table, store_version after, milliseconds wait,
-                       content_handler done) = 0;
+                       call_connection connection, content_handler done) = 0;
     /// Atomically writes `rows` if the stored version of each row in `expected` matches the version
     /// given there. Values in `expected` are ignored. Versions of an earlier era never match.
     virtual void commit(const std::vector<stored_row>& expected,
-                        const std::vector<stored_row>& rows, commit_handler done) = 0;
+                        const std::vector<stored_row>& rows, call_connection connection,
+                        commit_handler done) = 0;
 };
 
 /// Sends grants and releases of keys to servers.
--- a/libs/gateway/include/gateway/table_watch.h
+++ b/libs/gateway/include/gateway/table_watch.h
@@ -5,6 +5,7 @@
 #include "telemetry/logger.h"
 #include "wire/loop.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -24,8 +25,8 @@
     bool whole = false;
     /// The previous call failed, or the store came back from an older copy.
     bool after_outage = false;
-    /// Earliest time at which the changes can have happened; the time of the answer if the watch
-    /// was not paused before.
+    /// Earliest time at which the changes can have happened; the time of the answer if the call
+    /// waited for them, and no pause or failure was before it.
     time_point since;
     /// Time from the call that brought the content to its answer.
     milliseconds waited{0};
@@ -55,12 +56,20 @@
     void advance_to(store_version known, time_point when);
     /// Reads the table again if its content is of an earlier era of the store.
     void reload_before(std::uint64_t era);
-    /// Replaces a pending call, or the pause before the next one, by a call that the store answers
-    /// immediately. After a network interruption, the answer to the pending call may be delayed for
-    /// seconds by TCP retransmission timeouts, or the store may have forgotten the call.
+    /// Notes that another source knows of no change of the table up to `when`.
+    void confirm(time_point when) { this->complete_at = std::max(this->complete_at, when); }
+    /// Replaces a pending call, or the pause before the next one, by a call on a new connection
+    /// that the store answers immediately; no effect while such a call is pending. The answer to
+    /// the pending call may be delayed for seconds by TCP retransmission timeouts, its connection
+    /// may have gone silent, or the store may have forgotten it.
     void poll_now();
+    /// Polls if the content has not been confirmed for longer than `max_age`, by the store or by
+    /// another source. A failing watch asks anyway.
+    void poll_if_unconfirmed(milliseconds max_age, time_point now);
     /// Whether the last call failed.
     bool failing() const { return this->failures > 0; }
+    /// Time at which the content was last known to be complete; the epoch if it never was.
+    time_point confirmed_at() const { return this->complete_at; }
     /// When the store last answered; empty if it has not answered yet or a later call failed.
     std::optional<time_point> last_confirmed() const {
         return this->reachable() ? this->last_answer : std::nullopt;
@@ -98,6 +107,8 @@
     /// Number of the last call; answers to earlier ones are ignored.
     std::uint64_t last_call = 0;
     bool poll_requested = false;
+    /// The pending call was made to be answered immediately.
+    bool polling = false;
     bool has_content = false;
     bool paused = false;
     /// No call is pending or scheduled because the watch is paused.
--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -208,7 +208,7 @@
     /// The last commit, or the read after it, succeeded or ended in a conflict.
     bool store_ok = true;
     bool store_reachable = true;
-    std::optional<time_point> directory_confirmed_at{};
+    store_confirmations confirmed{};
     store_version catalogue_version{};
     milliseconds batch_delay{0};
     /// Held reports of hosts whose directory has an older version than this are answered
@@ -250,7 +250,7 @@
     void write_term_and_owners();
     void end_reassertion(bool written);
     void on_term_row(const stored_row& row);
-    void read_rows(const std::function<void(bool)>& done);
+    void read_rows(call_connection connection, const std::function<void(bool)>& done);
     void report();
     void schedule_report(milliseconds pause);
     void on_answer(const report_answer& answer);
@@ -281,7 +281,8 @@
     void apply_report(const host_report& report, time_point now);
     void send(const service_id& service, const ranges::lease_command& what);
     void commit(const service_id& service, const ranges::range_table& table);
-    void verify_commit(const service_id& service, const std::string& value);
+    void verify_commit(const service_id& service, const std::string& value,
+                       call_connection connection);
     bool is_isolated(time_point now) const;
 };
 
@@ -419,7 +420,8 @@
 
 /// Reads both tables.
 /// @param done  called with whether both reads succeeded
-void coordinator::state::read_rows(const std::function<void(bool)>& done) {
+void coordinator::state::read_rows(call_connection connection,
+                                   const std::function<void(bool)>& done) {
     struct progress {
         int left = 2;
         bool whole = true;
@@ -431,7 +433,7 @@
             done(both->whole);
         }
     };
-    this->store.read(std::string(owners_table),
+    this->store.read(std::string(owners_table), connection,
                      [this, finish](const result<table_content>& owner_rows) {
                          if (owner_rows) {
                              this->note_content(owners_table, *owner_rows, true);
@@ -441,17 +443,18 @@
                          }
                          finish(owner_rows.has_value());
                      });
-    this->store.read(std::string(term_table), [this, finish](const result<table_content>& terms) {
-        if (terms) {
-            this->note_content(term_table, *terms, true);
-            for (const stored_row& row : terms->rows) {
-                if (row.key == term_row) {
-                    this->on_term_row(row);
-                }
-            }
-        }
-        finish(terms.has_value());
-    });
+    this->store.read(std::string(term_table), connection,
+                     [this, finish](const result<table_content>& terms) {
+                         if (terms) {
+                             this->note_content(term_table, *terms, true);
+                             for (const stored_row& row : terms->rows) {
+                                 if (row.key == term_row) {
+                                     this->on_term_row(row);
+                                 }
+                             }
+                         }
+                         finish(terms.has_value());
+                     });
 }
 
 void coordinator::state::schedule_report(milliseconds pause) {
@@ -567,7 +570,10 @@
         this->handlers.limits_changed(*answer.limits);
     }
     if (answer.catalogue.number != 0) {
-        this->handlers.catalogue_named(answer.catalogue);
+        this->handlers.catalogue_named(answer.catalogue, answer.catalogue_age);
+    }
+    if (answer.term_age && this->term && answer.term == this->term->number) {
+        this->handlers.term_confirmed(*answer.term_age);
     }
     if (answer.has_store || !this->store_reachable) {
         // If this host does not reach the store either, it cannot take over, and the coordinator
@@ -576,7 +582,9 @@
     } else if (!this->coordinator_without_store) {
         this->coordinator_without_store = true;
         this->coordinator_without_store_since = now;
-    } else if (now - this->coordinator_without_store_since > this->settings.isolation_timeout / 2) {
+    } else if (now - this->coordinator_without_store_since > this->settings.isolation_timeout / 2 &&
+               (!this->confirmed.term ||
+                *this->confirmed.term >= this->coordinator_without_store_since)) {
         this->coordinator_without_store = false;
         this->on_coordinator_lost("store not reachable");
     }
@@ -616,7 +624,7 @@
 void coordinator::state::read_and_take_over() {
     this->taking_over = true;
     const std::uint64_t seen = this->term ? this->term->number : 0;
-    this->read_rows([this, seen](bool done) {
+    this->read_rows(call_connection::fresh, [this, seen](bool done) {
         if (!done || (this->term && this->term->number > seen && !this->term->host.empty())) {
             // The store is unavailable, or another host has taken over.
             this->end_takeover();
@@ -655,29 +663,31 @@
     row.version = this->version_of(term_table, row.key);
     const std::vector<stored_row> expected{row};
     row.value = encode(new_term);
-    this->store.commit(expected, {row}, [this, new_term](commit_outcome outcome) {
-        if (outcome == commit_outcome::rejected) {
-            this->end_takeover();
-        } else if (outcome == commit_outcome::unknown) {
-            // The commit may still be applied after this read. If the read shows it, read again:
-            // only owners that are read after the term was written are final.
-            this->read_rows([this, new_term](bool done) {
-                if (done && this->term && this->term->host == this->identity) {
-                    this->confirm_takeover(new_term);
-                } else {
-                    this->end_takeover();
-                }
-            });
-        } else {
-            this->confirm_takeover(new_term);
-        }
-    });
+    this->store.commit(expected, {row}, call_connection::fresh,
+                       [this, new_term](commit_outcome outcome) {
+                           if (outcome == commit_outcome::rejected) {
+                               this->end_takeover();
+                           } else if (outcome == commit_outcome::unknown) {
+                               // The commit may still be applied after this read. If the read shows
+                               // it, read again: only owners that are read after the term was
+                               // written are final.
+                               this->read_rows(call_connection::fresh, [this, new_term](bool done) {
+                                   if (done && this->term && this->term->host == this->identity) {
+                                       this->confirm_takeover(new_term);
+                                   } else {
+                                       this->end_takeover();
+                                   }
+                               });
+                           } else {
+                               this->confirm_takeover(new_term);
+                           }
+                       });
 }
 
 /// Reads back whether this host holds the term, and the owners: once the term is written, no other
 /// host can change them, as each commit of owners checks the term's version.
 void coordinator::state::confirm_takeover(const term_content& new_term) {
-    this->read_rows([this, new_term](bool done) {
+    this->read_rows(call_connection::fresh, [this, new_term](bool done) {
         if (done && this->term && this->term->host == this->identity &&
             this->term->number == new_term.number && !this->resigned) {
             this->taking_over = false;
@@ -749,7 +759,7 @@
         this->step_down("suspended");
         this->term.reset();
         this->rows.erase({std::string(term_table), std::string(term_row)});
-        this->read_rows([this](bool done) {
+        this->read_rows(call_connection::fresh, [this](bool done) {
             if (done && this->term && this->term->host == this->identity) {
                 // No other host took over. A new term is needed for new fencing tokens.
                 this->take_over();
@@ -827,9 +837,9 @@
         return;
     }
     this->reasserting = true;
-    this->read_rows([this](bool done) {
-        const bool confirmed = done && this->leading && this->term->host == this->identity;
-        if (!confirmed || !this->needs_reassertion) {
+    this->read_rows(call_connection::fresh, [this](bool done) {
+        const bool holds_term = done && this->leading && this->term->host == this->identity;
+        if (!holds_term || !this->needs_reassertion) {
             this->end_reassertion(false);
             return;
         }
@@ -867,19 +877,21 @@
         owners_entry.value = ranges::encode(table);
         written.push_back(owners_entry);
     }
-    this->store.commit(expected, written, [this, next](commit_outcome outcome) {
-        if (outcome == commit_outcome::rejected) {
-            this->end_reassertion(false);
-            return;
-        }
-        // The outcome may be unknown, and the versions of the new rows are needed.
-        this->read_rows([this, next](bool done) {
-            this->end_reassertion(
-                done && this->leading && this->stored_term &&
-                this->stored_term->host == this->identity && this->stored_term->era == next.era &&
-                this->stored_term->owners_era == next.owners_era && this->store_era == next.era);
+    this->store.commit(
+        expected, written, call_connection::fresh, [this, next](commit_outcome outcome) {
+            if (outcome == commit_outcome::rejected) {
+                this->end_reassertion(false);
+                return;
+            }
+            // The outcome may be unknown, and the versions of the new rows are needed.
+            this->read_rows(call_connection::fresh, [this, next](bool done) {
+                this->end_reassertion(done && this->leading && this->stored_term &&
+                                      this->stored_term->host == this->identity &&
+                                      this->stored_term->era == next.era &&
+                                      this->stored_term->owners_era == next.owners_era &&
+                                      this->store_era == next.era);
+            });
         });
-    });
 }
 
 /// @param written  the term and the owners of this host are in the store
@@ -1251,44 +1263,51 @@
                         {{"service", service.value()},
                          {"ranges", table.ranges.size()},
                          {"version", row.version.number}});
-    this->store.commit(expected, {row}, [this, service, value = row.value](commit_outcome outcome) {
-        if (!this->managed.contains(service)) {
-            return;
-        }
-        this->store_ok = outcome == commit_outcome::stored || outcome == commit_outcome::conflict;
-        if (outcome == commit_outcome::stored || outcome == commit_outcome::unknown) {
-            this->managed.at(service).late_commit_possible = outcome == commit_outcome::unknown;
-        }
-        if (outcome == commit_outcome::rejected) {
-            // Nothing was written: plan again after a delay.
-            this->loop.call_after(commit_retry_delay, [this, service] {
-                const auto current = this->managed.find(service);
-                if (current != this->managed.end()) {
-                    const time_point now = wire::event_loop::now();
-                    current->second.committing = false;
-                    current->second.keeper.on_commit_result(false, now);
-                    if (!current->second.late_commit_possible) {
-                        current->second.keeper.restore_owners(now);
+    this->store.commit(
+        expected, {row}, call_connection::kept,
+        [this, service, value = row.value](commit_outcome outcome) {
+            if (!this->managed.contains(service)) {
+                return;
+            }
+            this->store_ok =
+                outcome == commit_outcome::stored || outcome == commit_outcome::conflict;
+            if (outcome == commit_outcome::stored || outcome == commit_outcome::unknown) {
+                this->managed.at(service).late_commit_possible = outcome == commit_outcome::unknown;
+            }
+            if (outcome == commit_outcome::rejected) {
+                // Nothing was written: plan again after a delay.
+                this->loop.call_after(commit_retry_delay, [this, service] {
+                    const auto current = this->managed.find(service);
+                    if (current != this->managed.end()) {
+                        const time_point now = wire::event_loop::now();
+                        current->second.committing = false;
+                        current->second.keeper.on_commit_result(false, now);
+                        if (!current->second.late_commit_possible) {
+                            current->second.keeper.restore_owners(now);
+                        }
                     }
-                }
-            });
-            return;
-        }
-        this->verify_commit(service, value);
-    });
+                });
+                return;
+            }
+            this->verify_commit(service, value,
+                                outcome == commit_outcome::unknown ? call_connection::fresh
+                                                                   : call_connection::kept);
+        });
 }
 
 /// Reads back which table is stored, after a commit that may have been applied.
-void coordinator::state::verify_commit(const service_id& service, const std::string& value) {
-    this->read_rows([this, service, value](bool done) {
+void coordinator::state::verify_commit(const service_id& service, const std::string& value,
+                                       call_connection connection) {
+    this->read_rows(connection, [this, service, value](bool done) {
         if (!this->managed.contains(service)) {
             return;
         }
         const time_point now = wire::event_loop::now();
         this->store_ok = done;
         if (!done) {
-            this->loop.call_after(commit_retry_delay,
-                                  [this, service, value] { this->verify_commit(service, value); });
+            this->loop.call_after(commit_retry_delay, [this, service, value] {
+                this->verify_commit(service, value, call_connection::fresh);
+            });
             return;
         }
         this->last_store_contact = now;
@@ -1349,7 +1368,12 @@
         return answer;
     }
     answer.term = this->term->number;
+    const auto age_of = [now](std::optional<time_point> when) {
+        return when ? std::optional(std::chrono::ceil<milliseconds>(now - *when)) : std::nullopt;
+    };
     answer.catalogue = this->catalogue_version;
+    answer.catalogue_age = age_of(this->confirmed.catalogue);
+    answer.term_age = age_of(this->confirmed.term);
     if (this->knows_limits(now)) {
         limits_update limits = this->current_limits();
         if (!limits.limits.empty() || report.limits != 0) {
@@ -1359,8 +1383,7 @@
     if (this->can_relay_directory(report, now)) {
         answer.servers = this->servers.changes_since(report.servers, now);
         if (answer.servers) {
-            answer.servers->age =
-                std::chrono::ceil<milliseconds>(now - *this->directory_confirmed_at);
+            answer.servers->age = std::chrono::ceil<milliseconds>(now - *this->confirmed.servers);
         }
     }
     for (const auto& [service, own] : this->managed) {
@@ -1414,8 +1437,8 @@
 
 /// Whether this host's directory is recent enough to relay, and the reporting host has one.
 bool coordinator::state::can_relay_directory(const host_report& report, time_point now) const {
-    return report.servers.number != 0 && this->directory_confirmed_at &&
-           now - *this->directory_confirmed_at < this->settings.relay_max_age;
+    return report.servers.number != 0 && this->confirmed.servers &&
+           now - *this->confirmed.servers < this->settings.relay_max_age;
 }
 
 /// Whether the host lacks changes of owners, or changes of servers whose batch delay has passed.
@@ -1482,8 +1505,8 @@
     });
 }
 
-void coordinator::set_directory_confirmed_at(std::optional<time_point> when) {
-    this->implementation->directory_confirmed_at = when;
+void coordinator::set_confirmations(const store_confirmations& confirmed) {
+    this->implementation->confirmed = confirmed;
 }
 
 void coordinator::set_batch_delay(milliseconds pause) {
@@ -1530,13 +1553,13 @@
     row.version = this->version_of(term_table, row.key);
     const std::vector<stored_row> expected{row};
     row.value = encode(vacant);
-    this->store.commit(expected, {row}, [this](commit_outcome outcome) {
+    this->store.commit(expected, {row}, call_connection::fresh, [this](commit_outcome outcome) {
         if (outcome == commit_outcome::stored) {
             this->step_down("process is shutting down");
             return;
         }
         // The commit may have been applied, or another host may hold the term.
-        this->read_rows([this](bool done) {
+        this->read_rows(call_connection::fresh, [this](bool done) {
             if (done && this->term && this->term->host.empty()) {
                 this->step_down("process is shutting down");
                 return;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <random>
 #include <utility>
 
 namespace greengagechute::gateway {
@@ -18,9 +19,25 @@
 constexpr milliseconds min_batch_delay{80};
 constexpr milliseconds max_batch_delay{700};
 constexpr milliseconds no_batch_delay{0};
-/// Timeout of the coordinator's watch of the servers. Hosts use its relayed directory only while it
-/// is confirmed by the store; the watch is answered at least twice within that time.
-constexpr milliseconds coordinator_watch_timeout{500};
+/// Longest time for which the store holds the coordinator's calls for changes of a table. Each
+/// answer confirms the table, to the other hosts as well.
+constexpr milliseconds coordinator_servers_wait{500};
+constexpr milliseconds coordinator_catalogue_wait{750};
+constexpr milliseconds coordinator_term_wait{1'500};
+/// Time in which the store answers a call that it does not hold, and which is not lost: two round
+/// trips between regions, and fifty times the usual time in the store.
+constexpr milliseconds store_answer_time{350};
+/// Time from the store's answer to the coordinator until another host learns of it: a held report
+/// and its way.
+constexpr milliseconds relay_time{450};
+/// Hosts that ask because the coordinator has fallen silent spread their calls over this time.
+constexpr milliseconds unconfirmed_spread_per_host{2};
+constexpr milliseconds min_unconfirmed_spread{300};
+constexpr milliseconds max_unconfirmed_spread{3'000};
+/// Longest time for which the store holds the calls of a host to which the coordinator confirms
+/// nothing. It grows with the number of hosts to bound the rate of calls.
+constexpr milliseconds own_wait_per_host{4};
+constexpr milliseconds max_own_wait{5'000};
 /// The platform checks readiness once a second and stops sending new callers after two failed
 /// checks.
 constexpr milliseconds new_callers_period{2'500};
@@ -33,11 +50,18 @@
 constexpr milliseconds update_interval{50};
 /// Longest time by which the coordinator and the store's answer to this host's own watch may differ
 /// in telling of a new configuration.
-constexpr milliseconds max_catalogue_lag{400};
+constexpr milliseconds max_catalogue_lag{200};
 /// Version of the log schema in docs/logs.md; incremented when a field is removed or changes its
 /// meaning.
 constexpr int log_version = 1;
 
+/// Time after which a host asks the store itself about a table that neither the store nor the
+/// coordinator has confirmed.
+/// @param wait  longest time for which the store holds the calls that confirm it
+constexpr milliseconds max_unconfirmed(milliseconds wait) {
+    return wait + store_answer_time + relay_time;
+}
+
 wire::response make_response(int status, std::string_view reason, std::string body) {
     wire::response reply;
     reply.code = status;
@@ -83,6 +107,12 @@
     /// Until this time the server directory is taken from the coordinator's answers.
     time_point relayed_until;
     milliseconds relay_max_age = coordinator_settings{}.relay_max_age;
+    /// Until these times the coordinator's answers confirm the configuration and the term.
+    time_point catalogue_confirmed_until;
+    time_point term_confirmed_until;
+    int host_count = 1;
+    /// This host's place in the time over which hosts spread their calls, from 0 to 1.
+    double spread_position = 0;
     /// Nullopt until the store has been reached for the first time.
     std::optional<bool> store_reachable;
     /// At least one watch has failed and has not been answered since.
@@ -131,11 +161,13 @@
           peer_server(host_loop, [this](const std::shared_ptr<wire::incoming>& request) {
               this->on_peer(request);
           }) {
+        std::mt19937_64 spread_random(seed + 2);
         if (const auto counter = initial_metrics.add_counter(
                 "greengagechute_caller_connections_cut_total",
                 "Connections of callers that ended with input that got no answer.")) {
             this->cut_connections = *counter;
         }
+        this->spread_position = std::uniform_real_distribution<double>(0, 1)(spread_random);
         this->front_server.on_closed(
             [this](const wire::closed_connection& ended) { this->on_caller_connection(ended); });
     }
@@ -151,11 +183,18 @@
         handlers.limits_changed = [this](const limits_update& update) {
             this->frontend.set_limits(update, wire::event_loop::now());
         };
-        handlers.catalogue_named = [this](const store_version& version) {
-            this->on_catalogue_named(version, wire::event_loop::now());
+        handlers.catalogue_named = [this](const store_version& version,
+                                          std::optional<milliseconds> age) {
+            this->on_catalogue_named(version, age, wire::event_loop::now());
+        };
+        handlers.term_confirmed = [this](milliseconds age) {
+            const time_point as_of = wire::event_loop::now() - age;
+            this->term_watch.confirm(as_of);
+            this->term_confirmed_until = as_of + max_unconfirmed(coordinator_term_wait);
         };
         handlers.store_era_changed = [this](std::uint64_t era) { this->on_store_era(era); };
         handlers.hosts_counted = [this](int hosts) {
+            this->host_count = hosts;
             this->frontend.set_host_count(hosts);
             const milliseconds batch_delay =
                 std::clamp(hosts * batch_delay_per_host, min_batch_delay, max_batch_delay);
@@ -262,10 +301,16 @@
 
     /// Asks the store again if the coordinator has read a configuration that this host still lacks
     /// after the time in which its own watch should have returned it: the store may have forgotten
-    /// the pending call.
-    void on_catalogue_named(const store_version& named, time_point now) {
+    /// the pending call, or its connection may be silent.
+    void on_catalogue_named(const store_version& named, std::optional<milliseconds> age,
+                            time_point now) {
         if (named <= this->catalogue_version) {
             this->catalogue_missing_since.reset();
+            if (age) {
+                this->catalogue_watch.confirm(now - *age);
+                this->catalogue_confirmed_until =
+                    now - *age + max_unconfirmed(coordinator_catalogue_wait);
+            }
             return;
         }
         if (!this->catalogue_missing_since) {
@@ -364,16 +409,42 @@
         const bool store_unreachable = this->store_reachable == false;
         this->catalogue_watch.set_paused(store_unreachable);
         this->server_watch.set_paused(relayed || store_unreachable);
-        this->server_watch.set_max_wait(coordinating ? coordinator_watch_timeout
-                                                     : default_max_wait);
         if (ask_again) {
             for (table_watch* watch :
                  {&this->catalogue_watch, &this->server_watch, &this->term_watch}) {
                 watch->poll_now();
             }
         }
-        this->ownership.set_directory_confirmed_at(relayed ? std::nullopt
-                                                           : this->server_watch.last_confirmed());
+        this->bound_age(this->server_watch, coordinator_servers_wait, relayed, now);
+        this->bound_age(this->catalogue_watch, coordinator_catalogue_wait,
+                        now < this->catalogue_confirmed_until, now);
+        this->bound_age(this->term_watch, coordinator_term_wait, now < this->term_confirmed_until,
+                        now);
+        this->ownership.set_confirmations(
+            {relayed ? std::nullopt : this->server_watch.last_confirmed(),
+             this->catalogue_watch.last_confirmed(), this->term_watch.last_confirmed()});
+    }
+
+    /// Lets the store confirm a table often enough if the coordinator does not, and asks it at once
+    /// if the table has not been confirmed for too long: the pending call may never be answered.
+    /// @param coordinator_wait  longest time for which the store holds the coordinator's calls
+    /// @param confirmed         the coordinator's answers confirm the table
+    void bound_age(table_watch& watch, milliseconds coordinator_wait, bool confirmed,
+                   time_point now) {
+        if (this->ownership.coordinating()) {
+            watch.set_max_wait(coordinator_wait);
+            watch.poll_if_unconfirmed(coordinator_wait + store_answer_time, now);
+            return;
+        }
+        const milliseconds own_wait =
+            std::clamp(this->host_count * own_wait_per_host, coordinator_wait, max_own_wait);
+        const milliseconds spread = std::clamp(this->host_count * unconfirmed_spread_per_host,
+                                               min_unconfirmed_spread, max_unconfirmed_spread);
+        watch.set_max_wait(confirmed ? default_max_wait : own_wait);
+        watch.poll_if_unconfirmed(
+            max_unconfirmed(own_wait) +
+                std::chrono::duration_cast<milliseconds>(spread * this->spread_position),
+            now);
     }
 
     /// @param changed  earliest time at which the changes may have happened
--- a/libs/gateway/src/reports.cpp
+++ b/libs/gateway/src/reports.cpp
@@ -296,6 +296,12 @@
         text["catalogue"] = answer.catalogue.number;
         text["catalogue_era"] = answer.catalogue.era;
     }
+    for (const auto& [name, age] : {std::pair{"catalogue_age", &answer.catalogue_age},
+                                    std::pair{"term_age", &answer.term_age}}) {
+        if (*age) {
+            text[name] = (*age)->count();
+        }
+    }
     if (answer.limits) {
         nlohmann::json& written = text["limits"];
         written["version"] = answer.limits->version;
@@ -390,6 +396,13 @@
                       : 0;
     answer.catalogue = {number_or_zero(parsed, "catalogue_era"),
                         number_or_zero(parsed, "catalogue")};
+    for (const auto& [name, age] : {std::pair{"catalogue_age", &answer.catalogue_age},
+                                    std::pair{"term_age", &answer.term_age}}) {
+        const auto found = parsed.find(name);
+        if (found != parsed.end() && found->is_number_unsigned()) {
+            *age = milliseconds(bounded(*found, max_age.count()));
+        }
+    }
     if (parsed.contains("limits") && !decode_limits(parsed["limits"], answer.limits.emplace())) {
         return false;
     }
--- a/libs/gateway/src/table_watch.cpp
+++ b/libs/gateway/src/table_watch.cpp
@@ -37,6 +37,7 @@
 
 void table_watch::on_failure(const status& error) {
     ++this->failures;
+    this->polling = false;
     if (this->failures == 1) {
         const time_point now = wire::event_loop::now();
         this->failing_since = now;
@@ -86,7 +87,7 @@
     const time_point now = wire::event_loop::now();
     table_update update;
     update.after_outage = this->failures > 0;
-    update.since = this->was_paused ? this->complete_at : now;
+    update.since = this->was_paused || this->polling ? this->complete_at : now;
     update.waited = std::chrono::floor<milliseconds>(now - this->asked_at);
     if (update.after_outage) {
         telemetry::log_info(
@@ -98,6 +99,7 @@
              {"failures", this->failures}});
     }
     this->failures = 0;
+    this->polling = false;
     this->last_answer = now;
     this->complete_at = now;
     this->was_paused = false;
@@ -107,35 +109,38 @@
 void table_watch::read() {
     const std::uint64_t call = ++this->last_call;
     this->asked_at = wire::event_loop::now();
-    this->store.read(this->table, [this, call](result<table_content> answer) {
-        if (call != this->last_call) {
-            return;
-        }
-        if (!answer) {
-            // The history may be lost: only a snapshot shows which rows have been removed.
-            this->has_content = false;
-            this->on_failure(answer.error());
-            return;
-        }
-        this->log_skipped(*answer);
-        const bool restored =
-            this->version != store_version{} && answer->version.era != this->version.era;
-        table_update update = this->on_answer(answer->version);
-        if (restored) {
-            update.after_outage = true;
-            telemetry::log_warning(this->log, "store_restored",
-                                   {{"table", this->table},
-                                    {"known_version", this->version.number},
-                                    {"version", answer->version.number},
-                                    {"era", answer->version.era}});
-        }
-        this->has_content = true;
-        this->version = answer->version;
-        update.whole = true;
-        update.content = std::move(*answer);
-        this->handler(update);
-        this->continue_after(this->batch_delay);
-    });
+    this->polling = false;
+    // A table is read again after something went wrong, or first of all.
+    this->store.read(
+        this->table, call_connection::fresh, [this, call](result<table_content> answer) {
+            if (call != this->last_call) {
+                return;
+            }
+            if (!answer) {
+                // The history may be lost: only a snapshot shows which rows have been removed.
+                this->has_content = false;
+                this->on_failure(answer.error());
+                return;
+            }
+            this->log_skipped(*answer);
+            const bool restored =
+                this->version != store_version{} && answer->version.era != this->version.era;
+            table_update update = this->on_answer(answer->version);
+            if (restored) {
+                update.after_outage = true;
+                telemetry::log_warning(this->log, "store_restored",
+                                       {{"table", this->table},
+                                        {"known_version", this->version.number},
+                                        {"version", answer->version.number},
+                                        {"era", answer->version.era}});
+            }
+            this->has_content = true;
+            this->version = answer->version;
+            update.whole = true;
+            update.content = std::move(*answer);
+            this->handler(update);
+            this->continue_after(this->batch_delay);
+        });
 }
 
 void table_watch::reload_before(std::uint64_t era) {
@@ -150,6 +155,7 @@
     this->paused = wanted;
     if (!wanted && this->idle) {
         this->idle = false;
+        this->poll_requested = true;
         this->watch();
     }
 }
@@ -160,23 +166,36 @@
 }
 
 void table_watch::poll_now() {
-    if (this->has_content && !this->paused) {
+    if (this->has_content && !this->paused && !this->polling) {
         this->poll_requested = true;
         this->watch();
     }
 }
 
+void table_watch::poll_if_unconfirmed(milliseconds max_age, time_point now) {
+    if (!this->reachable() || this->paused || this->polling || now - this->complete_at <= max_age) {
+        return;
+    }
+    telemetry::log_info(this->log, "store_watch_unconfirmed",
+                        {{"table", this->table},
+                         {"version", this->version.number},
+                         {"waited", std::chrono::floor<milliseconds>(now - this->asked_at)},
+                         {"confirmed", std::chrono::floor<milliseconds>(now - this->complete_at)}});
+    this->poll_now();
+}
+
 void table_watch::watch() {
     if (this->paused) {
         this->idle = true;
         this->was_paused = true;
         return;
     }
-    const bool at_once = std::exchange(this->poll_requested, false) || this->failures > 0;
-    const milliseconds longest = at_once ? probe_wait : this->max_wait;
+    this->polling = std::exchange(this->poll_requested, false) || this->failures > 0;
+    const milliseconds longest = this->polling ? probe_wait : this->max_wait;
     const std::uint64_t call = ++this->last_call;
     this->asked_at = wire::event_loop::now();
     this->store.watch(this->table, this->version, longest,
+                      this->polling ? call_connection::fresh : call_connection::kept,
                       [this, call](result<table_content> answer) {
                           if (call != this->last_call) {
                               return;
--- a/libs/gateway/tests/fakes.h
+++ b/libs/gateway/tests/fakes.h
@@ -29,8 +29,11 @@
 public:
     explicit memory_store(wire::event_loop& own_loop) : loop(own_loop) {}
 
-    void read(const std::string& table, content_handler done) override {
+    void read(const std::string& table, call_connection connection, content_handler done) override {
         ++this->reads;
+        if (this->is_lost(connection)) {
+            return;
+        }
         this->after([this, table, done = std::move(done)] {
             if (this->away) {
                 done(make_error_code(gateway_errc::store_unavailable));
@@ -41,14 +44,20 @@
     }
 
     void watch(const std::string& table, store_version after_version, milliseconds wait,
-               content_handler done) override {
+               call_connection connection, content_handler done) override {
         ++this->watches;
+        if (this->is_lost(connection)) {
+            return;
+        }
         this->poll_changes(table, after_version, wire::event_loop::now() + wait, std::move(done));
     }
 
     void commit(const std::vector<stored_row>& expected, const std::vector<stored_row>& rows,
-                commit_handler done) override {
+                call_connection connection, commit_handler done) override {
         ++this->commits;
+        if (this->is_lost(connection)) {
+            return;
+        }
         this->after([this, expected, rows, done = std::move(done)] {
             if (this->reject_commits) {
                 done(commit_outcome::rejected);
@@ -98,6 +107,8 @@
     bool away = false;
     /// Pending watches are never answered.
     bool drops_watches = false;
+    /// Calls on kept connections are lost until one on a new connection is made.
+    bool kept_silent = false;
     int reads = 0;
     int watches = 0;
     bool lose_answers = false;
@@ -106,6 +117,11 @@
     int commits = 0;
 
 private:
+    bool is_lost(call_connection connection) {
+        this->kept_silent = this->kept_silent && connection == call_connection::kept;
+        return this->kept_silent;
+    }
+
     void poll_changes(const std::string& table, store_version after_version, time_point until,
                       content_handler done) {
         this->after([this, table, after_version, until, done = std::move(done)] {
@@ -223,14 +239,14 @@
     host_connections(memory_store& shared, accepting_servers& servers)
         : store(shared), orders(servers) {}
 
-    void read(const std::string& table, content_handler done) override {
+    void read(const std::string& table, call_connection connection, content_handler done) override {
         if (!this->lost && !this->store_lost) {
-            this->store.read(table, std::move(done));
+            this->store.read(table, connection, std::move(done));
         }
     }
     void watch(const std::string& table, store_version after_version, milliseconds wait,
-               content_handler done) override {
-        this->store.watch(table, after_version, wait,
+               call_connection connection, content_handler done) override {
+        this->store.watch(table, after_version, wait, connection,
                           [this, done = std::move(done)](result<table_content> found) {
                               if (!this->lost && !this->store_lost) {
                                   done(std::move(found));
@@ -238,9 +254,9 @@
                           });
     }
     void commit(const std::vector<stored_row>& expected, const std::vector<stored_row>& rows,
-                commit_handler done) override {
+                call_connection connection, commit_handler done) override {
         if (!this->lost && !this->store_lost) {
-            this->store.commit(expected, rows, std::move(done));
+            this->store.commit(expected, rows, connection, std::move(done));
         }
     }
     void send(const wire::endpoint& server, const ranges::lease_command& what,
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -246,7 +246,9 @@
             this->relayed.push_back(update);
         };
         handlers.limits_changed = [](const gateway::limits_update&) {};
-        handlers.catalogue_named = [](const gateway::store_version&) {};
+        handlers.catalogue_named = [](const gateway::store_version&,
+                                      std::optional<gg::milliseconds>) {};
+        handlers.term_confirmed = [](gg::milliseconds) {};
         handlers.store_era_changed = [](std::uint64_t) {};
         handlers.hosts_counted = [](int) {};
         handlers.collect_report = [] { return gateway::host_report{}; };
@@ -1457,7 +1459,7 @@
     const auto& told = test.hosts[static_cast<std::size_t>(1 - leader)]->relayed;
     // Without a recent answer of the store the coordinator does not relay the servers.
     BOOST_TEST(told.empty());
-    coordinator.set_directory_confirmed_at(wire::event_loop::now());
+    coordinator.set_confirmations({wire::event_loop::now(), {}, {}});
     test.run_for(600ms);
     BOOST_REQUIRE(!told.empty());
     BOOST_TEST(told.back().changes.empty());
@@ -1467,14 +1469,14 @@
     // share one directory, so a report sent after the change would already have its version.
     std::size_t before = told.size();
     for (int step = 0; step < 100 && told.size() == before; ++step) {
-        coordinator.set_directory_confirmed_at(wire::event_loop::now());
+        coordinator.set_confirmations({wire::event_loop::now(), {}, {}});
         test.run_for(10ms);
     }
     BOOST_REQUIRE(told.size() > before);
     test.run_for(150ms);
     before = told.size();
     test.servers.apply({{gg::server_id("c"), std::nullopt, at(2)}}, at(2), wire::event_loop::now());
-    coordinator.set_directory_confirmed_at(wire::event_loop::now());
+    coordinator.set_confirmations({wire::event_loop::now(), {}, {}});
     coordinator.on_directory_changed();
     test.run_for(150ms);
     BOOST_TEST(told.size() > before);
--- a/libs/gateway/tests/host_test.cpp
+++ b/libs/gateway/tests/host_test.cpp
@@ -219,6 +219,11 @@
         this->run_for(100ms);
         this->store.drops_watches = false;
     }
+    /// All open connections to the store go silent; new ones work.
+    void silence_connections() {
+        this->drop_pending_watches();
+        this->store.kept_silent = true;
+    }
 
     void run_for(gg::milliseconds time) {
         this->loop.call_after(time, [this] { this->loop.stop(); });
@@ -302,7 +307,7 @@
     test.start_coordinator();
     test.start_host();
     test.run_for(1s);
-    test.drop_pending_watches();
+    test.silence_connections();
     test.store.put(catalogue_table, catalogue_row, "2");
     test.run_for(configuration_bound);
     BOOST_TEST(test.ask("/new/x") != 404);
@@ -313,7 +318,7 @@
     host_fixture test;
     test.start_host();
     test.run_for(1s);
-    test.drop_pending_watches();
+    test.silence_connections();
     test.store.put(catalogue_table, catalogue_row, "2");
     test.run_for(configuration_bound);
     BOOST_TEST(test.ask("/new/x") != 404);
@@ -327,7 +332,7 @@
     test.add_plain_server(1ms);
     test.start_host();
     test.run_for(1s);
-    test.drop_pending_watches();
+    test.silence_connections();
     test.store.put(server_table, "p", "plain " + std::to_string(test.plain->port()) + " draining");
     test.run_for(drain_bound);
     wire::client caller(test.loop, {});
@@ -342,7 +347,7 @@
     host_fixture test;
     test.start_host();
     test.run_for(1s);
-    test.drop_pending_watches();
+    test.silence_connections();
     test.start_coordinator(7);
     test.run_for(2'500ms);
     BOOST_TEST(!test.reports.empty());
