tests: start the host of a test on other ports if one was taken meanwhile

silent_watch_of_the_coordinator_does_not_delay_a_configuration failed once in start(), in a run of all unit tests four at a time: the test chooses free ports and opens them later, and connections of other tests take ports from the same range. The host is now started with other ports, up to five times; that it starts is required as before.

--- a/libs/gateway/tests/host_test.cpp
+++ b/libs/gateway/tests/host_test.cpp
@@ -118,9 +118,6 @@
         this->log = *gg::telemetry::logger::create(options);
         this->settings.host = gg::host_id("host-1");
         this->settings.data_centre = gg::data_centre_id("dc");
-        this->settings.front = {"127.0.0.1", free_port(this->loop)};
-        this->settings.ready = {"127.0.0.1", free_port(this->loop)};
-        this->settings.peers = {"127.0.0.1", free_port(this->loop)};
         this->answer.coordinating = true;
         this->answer.hosts = 2;
         this->answer.term = 1;
@@ -162,10 +159,20 @@
         format.parse_catalogue = parse_catalogue;
         format.parse_server_entry = parse_server_entry;
         format.headers = make_header_names();
-        this->host =
-            std::make_unique<gateway::gateway>(this->loop, this->store, this->orders, *this->log,
-                                               this->numbers, format, this->settings, 1);
-        BOOST_REQUIRE(!this->host->start());
+        // Another process may take a port between the choice and the start.
+        constexpr int attempts = 5;
+        bool started = false;
+        for (int attempt = 0; attempt < attempts && !started; ++attempt) {
+            for (wire::endpoint* const address :
+                 {&this->settings.front, &this->settings.ready, &this->settings.peers}) {
+                *address = {"127.0.0.1", free_port(this->loop)};
+            }
+            this->host = std::make_unique<gateway::gateway>(this->loop, this->store, this->orders,
+                                                            *this->log, this->numbers, format,
+                                                            this->settings, 1);
+            started = !this->host->start();
+        }
+        BOOST_REQUIRE(started);
     }
 
     /// Starts a server of the undivided service that answers after `work`, and counts what it runs.
