gateway: refuse requests under which three servers have ended

Cause: the gateway remembered nothing of a request whose server ended, and sent a safe one to a second server when the first had ended under it. The quarantine of the library admission existed and was not used.

A host whose connection to a server ends before the answer now asks that server for a new connection. A refusal, or another instance at the id or address, shows that the server has ended under the request; an accepted connection, a planned end, or the end of connections to four servers at once do not count. Hosts report losses; the coordinator counts each server instance once and tells all hosts, with the answers that it holds. From the third on the request is refused as not run (1511) for two minutes, and for twice as long after each later loss. Any answer of a server that has run the request clears it everywhere, so that a sound request is not refused for good.

--- a/libs/admission/tests/tables_test.cpp
+++ b/libs/admission/tests/tables_test.cpp
@@ -123,6 +123,50 @@
     BOOST_TEST(!admission::is_quarantined(table, 9, start));
 }
 
+// Guards against one loss that counts as often as hosts report it.
+BOOST_AUTO_TEST_CASE(each_lost_server_counts_once) {
+    admission::quarantine_limits limits;
+    limits.losses = 3;
+    auto table = admission::make_quarantine_table(limits);
+    for (const std::uint64_t server : {1U, 1U, 2U, 1U, 2U}) {
+        static_cast<void>(admission::record_loss(table, 7, server, start));
+    }
+    BOOST_TEST(admission::losses_of(table, 7, start) == 2U);
+    BOOST_TEST(!admission::is_quarantined(table, 7, start));
+    BOOST_TEST(admission::record_loss(table, 7, 3, start).has_value());
+    BOOST_TEST(admission::is_quarantined(table, 7, start));
+}
+
+// Guards against a sound request that is refused for good, and against one that crashes servers and
+// is tried again at short intervals for ever.
+BOOST_AUTO_TEST_CASE(quarantined_request_is_tried_again_ever_later) {
+    admission::quarantine_limits limits;
+    limits.losses = 3;
+    limits.duration = milliseconds(100);
+    limits.longest = milliseconds(300);
+    limits.probation = milliseconds(1'000);
+    limits.stagger = milliseconds(10);
+    auto table = admission::make_quarantine_table(limits);
+    gg::time_point now = start;
+    std::uint64_t server = 0;
+    while (!admission::is_quarantined(table, 7, now)) {
+        static_cast<void>(admission::record_loss(table, 7, ++server, now));
+    }
+    BOOST_TEST(server == 3U);
+    for (const int expected : {110, 210, 310, 310}) {
+        const milliseconds left = admission::time_left(table, 7, now);
+        BOOST_TEST(left.count() == expected);
+        now += left;
+        BOOST_TEST(!admission::is_quarantined(table, 7, now));
+        static_cast<void>(admission::record_loss(table, 7, ++server, now));
+    }
+    BOOST_TEST(admission::forgive(table, 7));
+    BOOST_TEST(!admission::is_quarantined(table, 7, now));
+    BOOST_TEST(admission::losses_of(table, 7, now) == 0U);
+    static_cast<void>(admission::record_loss(table, 8, 1, now));
+    BOOST_TEST(admission::losses_of(table, 8, now + milliseconds(1'100)) == 0U);
+}
+
 // Guards against a table that grows without limit, and against evicting a quarantined request when
 // many other losses are reported.
 BOOST_AUTO_TEST_CASE(table_is_bounded) {
--- a/libs/gateway/include/gateway/coordinator.h
+++ b/libs/gateway/include/gateway/coordinator.h
@@ -4,9 +4,11 @@
 #include "base/time.h"
 #include "gateway/balancer.h"
 #include "gateway/catalogue.h"
+#include "gateway/crash_guard.h"
 #include "gateway/directory.h"
 #include "gateway/key_limits.h"
 #include "gateway/store.h"
+#include "gateway/suspect_requests.h"
 #include "ranges/key_load.h"
 #include "ranges/lease_manager.h"
 #include "telemetry/logger.h"
@@ -80,6 +82,7 @@
     /// Age up to which directory data may be relayed by the coordinator and used by other hosts. It
     /// covers one wait in the store, one held report and the round trips of both.
     milliseconds relay_max_age{1'200};
+    admission::quarantine_limits quarantine = default_quarantine;
     ranges::lease_settings keeper;
 };
 
@@ -96,6 +99,12 @@
     std::uint64_t limits = 0;
     /// Server incarnations that are known to have ended.
     std::vector<ranges::server_instance> ended;
+    /// Server incarnations that ended while they ran a request.
+    std::vector<request_loss> losses;
+    /// Suspect requests that a server has run to the end.
+    std::vector<request_fingerprint> cleared;
+    /// Version of the suspect requests that the host knows; 0 if it knows of none.
+    std::uint64_t suspects = 0;
     /// Server incarnations that have stated that they are leaving, although their entries do not
     /// say so. Repeated in each report.
     std::vector<ranges::server_instance> leaving;
@@ -143,6 +152,8 @@
     /// Empty if there are no limits and the host has none, or if the coordinator does not know the
     /// load yet.
     std::optional<limits_update> limits;
+    /// Empty if the host knows them, or if there are none and it knows of none.
+    std::optional<suspects_update> suspects;
     /// Servers that changed after the store version in the report; empty if the coordinator has no
     /// recent data from the store or the version is older than its history.
     std::optional<directory_update> servers;
@@ -170,6 +181,10 @@
     std::function<void(const service_id&, ranges::range_table)> owners_changed;
     /// The limits are known anew.
     std::function<void(const limits_update&)> limits_changed;
+    /// Requests under which servers have ended are known anew.
+    std::function<void(const suspects_update&)> suspects_changed;
+    /// A report got no answer: what it said of losses is unknown to the coordinator.
+    std::function<void(const std::vector<request_loss>&)> losses_unreported;
     /// A remote coordinator has sent changes of servers.
     std::function<void(const directory_update&)> servers_relayed;
     /// A remote coordinator has named the newest configuration row that it has read.
--- a/libs/gateway/include/gateway/front.h
+++ b/libs/gateway/include/gateway/front.h
@@ -4,8 +4,10 @@
 #include "base/time.h"
 #include "gateway/balancer.h"
 #include "gateway/catalogue.h"
+#include "gateway/crash_guard.h"
 #include "gateway/directory.h"
 #include "gateway/key_limits.h"
+#include "gateway/suspect_requests.h"
 #include "ranges/range_table.h"
 #include "telemetry/logger.h"
 #include "telemetry/metrics.h"
@@ -57,6 +59,7 @@
 struct front_settings {
     balancer_settings balancer;
     retry_budget_settings retries;
+    admission::quarantine_limits quarantine = default_quarantine;
     data_centre_id data_centre;
     std::map<data_centre_id, region_id> regions;
     /// Timeout for establishing a connection to a server; several round trips between regions.
@@ -106,6 +109,15 @@
     /// Returns the server instances found since the last call to have ended, because another server
     /// responds at their address.
     std::vector<ranges::server_instance> take_ended_servers();
+    /// Returns the servers found since the last call to have ended while they ran requests.
+    std::vector<request_loss> take_losses();
+    /// Takes losses back that could not be reported.
+    void return_losses(const std::vector<request_loss>& unreported);
+    /// Returns the requests that a server has run to the end since the last call although others
+    /// had ended under them.
+    std::vector<request_fingerprint> take_cleared();
+    /// Applies what the coordinator knows of requests under which servers have ended.
+    void set_suspects(const suspects_update& update, time_point now);
     /// Returns the registered server instances that have stated in an answer that they are leaving.
     std::vector<ranges::server_instance> leaving_servers() const;
     /// Sets when `abort_open_requests` will be called because this process ends. Requests that
--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -28,7 +28,8 @@
 /// Number of terms that a store may lose when it comes back from a copy.
 constexpr std::uint64_t max_lost_terms = 1'000;
 constexpr milliseconds commit_retry_delay{150};
-constexpr std::uint64_t limits_versions_per_term = 1'000'000;
+/// Versions of limits and of suspect requests that a coordinator may give out in its term.
+constexpr std::uint64_t versions_per_term = 1'000'000;
 /// Mean service time of the users' requests as a multiple of their geometric mean, which a few long
 /// requests do not dominate.
 constexpr double mean_to_geometric_mean = 1.4;
@@ -224,6 +225,10 @@
     std::uint64_t known_term = 0;
     /// Version of the limits that this host got last; 0 if it has none.
     std::uint64_t known_limits = 0;
+    /// Requests under which servers have ended; of this host's own term, or learned from answers.
+    suspect_ledger suspects{};
+    /// Version of the suspect requests that this host got last; 0 if it knows of none.
+    std::uint64_t known_suspects = 0;
     /// Copy made when this host became the coordinator: other hosts with the same versions need
     /// only the changes since then.
     std::map<service_id, ranges::range_table> inherited_owners{};
@@ -300,6 +305,7 @@
                          std::uint64_t seed)
     : implementation(new state{loop, peers, store, orders, servers, log, std::move(settings),
                                std::move(handlers), std::mt19937_64(seed)}) {
+    this->implementation->suspects = make_suspect_ledger(this->implementation->settings.quarantine);
     this->implementation->identity = this->implementation->settings.host.value() + "/" +
                                      std::to_string(this->implementation->random());
 }
@@ -485,6 +491,7 @@
     content.owners = this->known_versions;
     content.servers = this->servers.version();
     content.limits = this->known_limits;
+    content.suspects = this->known_suspects;
     wire::request message;
     message.method = "POST";
     message.target = "/coordination/report";
@@ -495,10 +502,14 @@
         content.at_once ? this->settings.probe_timeout : this->settings.report_timeout;
     options.connect_timeout = options.timeout;
     this->peers.send(*this->term->address, message, options,
-                     [this, number = this->term->number](const wire::call_result& outcome) {
+                     [this, number = this->term->number,
+                      losses = std::move(content.losses)](const wire::call_result& outcome) {
                          report_answer answer;
                          const bool answered = !outcome.error && outcome.message.code == http_ok &&
                                                decode(outcome.message.body, answer);
+                         if ((!answered || !answer.coordinating) && !losses.empty()) {
+                             this->handlers.losses_unreported(losses);
+                         }
                          const bool first_miss = !answered && this->missed_reports == 0;
                          this->schedule_report((answered && answer.coordinating) || first_miss
                                                    ? this->settings.report_pause
@@ -565,6 +576,11 @@
                              {"ranges", known.ranges.size()}});
         this->handlers.owners_changed(service, known);
     }
+    if (answer.suspects) {
+        this->known_suspects = answer.suspects->version;
+        merge(this->suspects, *answer.suspects, now);
+        this->handlers.suspects_changed(*answer.suspects);
+    }
     if (answer.limits) {
         this->known_limits = answer.limits->limits.empty() ? 0 : answer.limits->version;
         this->handlers.limits_changed(*answer.limits);
@@ -719,7 +735,8 @@
     this->last_balance = now;
     this->last_store_contact = now;
     this->coordinating_since = now;
-    this->limits_version = number * limits_versions_per_term + 1;
+    this->limits_version = number * versions_per_term + 1;
+    this->suspects.version = number * versions_per_term + 1;
     this->needs_reassertion = false;
     this->owners_verified = !this->term->owners_era || this->term->owners_era == this->store_era;
     telemetry::log_info(this->log, "coordinating",
@@ -803,6 +820,7 @@
                 constexpr int forget_after = 4;
                 return now - entry.second > forget_after * report_max_age;
             });
+            expire(this->suspects, now);
             std::erase_if(this->leaving, [now](const auto& entry) {
                 return now - entry.second > leaving_retention;
             });
@@ -924,6 +942,10 @@
     for (const ranges::server_instance& life : report.leaving) {
         this->leaving[life] = now;
     }
+    if (record_report(this->suspects, report.losses, report.cleared, now)) {
+        this->handlers.suspects_changed(current_suspects(this->suspects, now));
+        this->answer_held_reports(false, now);
+    }
     for (const auto& [service, keys] : report.keys) {
         const auto found = this->managed.find(service);
         if (found != this->managed.end()) {
@@ -1380,6 +1402,9 @@
             answer.limits = std::move(limits);
         }
     }
+    if (has_news(this->suspects, report.suspects)) {
+        answer.suspects = current_suspects(this->suspects, now);
+    }
     if (this->can_relay_directory(report, now)) {
         answer.servers = this->servers.changes_since(report.servers, now);
         if (answer.servers) {
@@ -1446,6 +1471,9 @@
     if (report.servers < this->announced_version && this->can_relay_directory(report, now)) {
         return true;
     }
+    if (has_news(this->suspects, report.suspects)) {
+        return true;
+    }
     if ((this->has_limits() || report.limits != 0) && this->knows_limits(now) &&
         report.limits != this->limits_version) {
         return true;
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -40,6 +40,11 @@
 /// While a range moves, a single request at a time is sent to its owner as a probe. Interval after
 /// which the next probe may be sent.
 constexpr milliseconds moved_probe_interval{150};
+/// Delay before a server whose connection broke is asked for another one. A process that ends
+/// closes its listener and its connections within this time.
+constexpr milliseconds server_check_delay{30};
+/// Time in which a server accepts a connection, or its system refuses one.
+constexpr milliseconds server_check_timeout{500};
 /// Delay before retrying a server to which no connection could be established.
 constexpr milliseconds unreachable_retry_delay{80};
 /// Attempts per request that may fail before they reach a server.
@@ -201,12 +206,20 @@
     time_point sent_at;
     /// Error response of an earlier attempt, returned to the caller if no retry succeeds.
     std::optional<wire::response> fallback;
+    /// Set when it is first needed.
+    std::optional<request_fingerprint> content;
     bool done = false;
     telemetry::request_trail trail{""};
 };
 
 using request_handle = std::shared_ptr<active_request>;
 
+/// Connection to a server that may have ended; open until it is accepted or refused.
+struct server_check {
+    std::shared_ptr<wire::stream> connection;
+    wire::timer_id timer = 0;
+};
+
 /// The server selected for a request, or the reason why the request has to wait.
 struct server_choice {
     server_state* server = nullptr;
@@ -253,6 +266,8 @@
     std::map<service_id, std::map<server_id, service_time_sample>> service_times;
     std::map<service_id, std::map<server_id, queue_sample>> queues;
     std::vector<ranges::server_instance> ended_servers;
+    crash_guard guard;
+    std::map<ranges::server_instance, server_check> server_checks;
     /// Notices of server instances that are not registered at the moment, and when they were
     /// removed. Their entries may come back, also from an older copy of the store.
     std::map<ranges::server_instance, std::pair<server_notices, time_point>> former_notices;
@@ -269,6 +284,8 @@
     telemetry::counter withheld_by_leaving;
     telemetry::counter withheld_by_pause;
     telemetry::counter limited_count;
+    telemetry::counter quarantined_count;
+    telemetry::counter ended_under_requests;
     telemetry::latency_histogram request_time;
 
     service_pool& service_of(const service_id& id, time_point now) {
@@ -308,6 +325,12 @@
                                     time_point now);
     bool is_urgent(const active_request& active) const;
     bool refuse_if_limited(const request_handle& active, service_pool& pool, time_point now);
+    request_fingerprint content_of(active_request& active) const;
+    bool refuse_if_quarantined(const request_handle& active, time_point now);
+    void note_interrupted(const request_handle& active, const server_state* server, time_point now);
+    void check_server(const ranges::server_instance& server, const wire::endpoint& address);
+    void on_server_ended(const ranges::server_instance& server, end_evidence evidence,
+                         time_point now);
     void record_queue(const active_request& active, const service_pool& pool, int waiting);
     void keep_notices(const server_state& server, time_point now);
     void note_statement(const request_handle& active, const wire::response& message,
@@ -366,6 +389,8 @@
                                {},
                                {},
                                {},
+                               make_crash_guard(settings.quarantine),
+                               {},
                                {},
                                1,
                                std::nullopt,
@@ -379,6 +404,8 @@
                                {},
                                {},
                                {},
+                               {},
+                               {},
                                {}}) {
     const auto make = [&metrics](std::string_view name, std::string_view help) {
         const auto made = metrics.add_counter(name, help);
@@ -401,6 +428,10 @@
     impl.limited_count = make("greengagechute_limited_total",
                               "Requests refused because their key gets more than its server can "
                               "run.");
+    impl.quarantined_count = make("greengagechute_quarantined_total",
+                                  "Requests refused because servers have ended under them.");
+    impl.ended_under_requests = make("greengagechute_servers_ended_under_requests_total",
+                                     "Ends of servers, counted for each request that ran there.");
     const auto histogram = metrics.add_latency("greengagechute_request_seconds",
                                                "Time from a request's arrival to its answer.");
     if (histogram) {
@@ -443,6 +474,7 @@
         const bool known = server.entry.life == entry.life;
         if (!known) {
             impl.keep_notices(server, now);
+            impl.on_server_ended(server.entry.life, end_evidence::replaced, now);
             server = {};
             server.first_seen = now;
             if (const auto former = impl.former_notices.find(entry.life);
@@ -533,6 +565,23 @@
     return std::exchange(this->implementation->ended_servers, {});
 }
 
+std::vector<request_loss> front::take_losses() {
+    return std::exchange(this->implementation->guard.unreported, {});
+}
+
+void front::return_losses(const std::vector<request_loss>& unreported) {
+    std::vector<request_loss>& waiting = this->implementation->guard.unreported;
+    waiting.insert(waiting.begin(), unreported.begin(), unreported.end());
+}
+
+std::vector<request_fingerprint> front::take_cleared() {
+    return std::exchange(this->implementation->guard.cleared, {});
+}
+
+void front::set_suspects(const suspects_update& update, time_point now) {
+    apply(this->implementation->guard, update, now);
+}
+
 void front::set_end(time_point when, time_point now) {
     this->implementation->ends_at = when;
     for (auto& [id, pool] : this->implementation->services) {
@@ -659,7 +708,7 @@
         this->refuse(active, gateway_errc::shutting_down, now);
         return;
     }
-    if (this->refuse_if_limited(active, pool, now)) {
+    if (this->refuse_if_quarantined(active, now) || this->refuse_if_limited(active, pool, now)) {
         return;
     }
     if (this->try_send(active, pool, now)) {
@@ -884,6 +933,88 @@
     return true;
 }
 
+request_fingerprint front::state::content_of(active_request& active) const {
+    if (!active.content) {
+        active.content = fingerprint_of(active.message, this->names.key);
+    }
+    return *active.content;
+}
+
+/// Refuses the request if servers have ended under it lately. Returns whether it was refused.
+bool front::state::refuse_if_quarantined(const request_handle& active, time_point now) {
+    if (this->guard.requests.entries.empty() ||
+        time_until_allowed(this->guard, this->content_of(*active), now) == milliseconds{0}) {
+        return false;
+    }
+    this->quarantined_count.add();
+    this->refuse(active, gateway_errc::quarantined, now);
+    return true;
+}
+
+/// Remembers a request whose connection to a server broke, and asks whether the server has ended.
+/// The end of a server that leaves is planned.
+void front::state::note_interrupted(const request_handle& active, const server_state* server,
+                                    time_point now) {
+    if (server == nullptr || server->entry.life != active->current_instance ||
+        server->entry.draining || server->notices.leaving_since) {
+        return;
+    }
+    record_interruption(this->guard.attribution,
+                        {this->content_of(*active), active->current_instance, now});
+    this->check_server(server->entry.life, server->entry.address);
+}
+
+/// Opens a connection to a server that may have ended, and closes it at once if it is accepted.
+void front::state::check_server(const ranges::server_instance& server,
+                                const wire::endpoint& address) {
+    const auto [check, added] = this->server_checks.try_emplace(server);
+    if (!added) {
+        return;
+    }
+    const auto end_check = [this, server](bool close) {
+        const auto found = this->server_checks.find(server);
+        this->loop.cancel(found->second.timer);
+        if (close && found->second.connection) {
+            found->second.connection->close();
+        }
+        this->server_checks.erase(found);
+    };
+    check->second.timer =
+        this->loop.call_after(server_check_delay, [this, server, address, end_check] {
+            server_check& running = this->server_checks.at(server);
+            running.timer =
+                this->loop.call_after(server_check_timeout, [end_check] { end_check(true); });
+            wire::stream_handlers handlers;
+            handlers.connected = [this, server, end_check] {
+                dismiss(this->guard.attribution, server);
+                end_check(true);
+            };
+            handlers.ended = [this, server, end_check](wire::stream_end how) {
+                end_check(false);
+                if (how == wire::stream_end::refused) {
+                    this->on_server_ended(server, end_evidence::refused_connection,
+                                          wire::event_loop::now());
+                }
+            };
+            running.connection = wire::stream::connect(this->loop, address, std::move(handlers));
+        });
+}
+
+/// Counts the requests that ran at a server instance when it ended.
+void front::state::on_server_ended(const ranges::server_instance& server, end_evidence evidence,
+                                   time_point now) {
+    for (const counted_loss& loss : note_ended(this->guard, server, evidence, now)) {
+        this->ended_under_requests.add();
+        telemetry::log_warning(this->log, "server_ended_under_request",
+                               {{"content", to_text(loss.content)},
+                                {"server", server.id.value()},
+                                {"born", server.start_time_ms},
+                                {"replaced", evidence == end_evidence::replaced},
+                                {"losses", loss.losses},
+                                {"refused_for", loss.refused_for}});
+    }
+}
+
 /// Records the queue of a server that owns limited keys.
 void front::state::record_queue(const active_request& active, const service_pool& pool,
                                 int waiting) {
@@ -1143,6 +1274,9 @@
         this->log.add(active->trail, telemetry::level::warning, "server_unreachable",
                       {{"server", active->current_server.value()}, {"error", outcome.error}});
         this->note_no_response(server, now);
+        if (outcome.error == wire::wire_errc::refused) {
+            this->on_server_ended(active->current_instance, end_evidence::refused_connection, now);
+        }
         active->tried_servers.insert(active->current_server);
         if (++active->unreachable_attempts >= max_unreachable_attempts) {
             this->refuse(active, gateway_errc::attempts_spent, now);
@@ -1159,6 +1293,11 @@
             // The answer was cut after its head.
             this->note_statement(active, outcome.message, now);
         }
+        if (outcome.error == wire::wire_errc::reset ||
+            outcome.error == wire::wire_errc::closed_before_response ||
+            outcome.error == wire::wire_errc::truncated) {
+            this->note_interrupted(active, server, now);
+        }
         this->on_no_answer(active, server, outcome.error, now);
         return;
     }
@@ -1198,6 +1337,7 @@
                              {"answering", *answering}});
         server->replaced = true;
         this->ended_servers.push_back(server->entry.life);
+        this->on_server_ended(server->entry.life, end_evidence::replaced, now);
     }
     if (not_run) {
         if (outcome.connection) {
@@ -1254,6 +1394,12 @@
         this->on_failure(active, wire::wire_errc::malformed_response, now);
         return;
     }
+    if (!this->guard.requests.entries.empty() &&
+        note_survived(this->guard, this->content_of(*active), now)) {
+        this->log.add(active->trail, telemetry::level::info, "request_cleared",
+                      {{"content", to_text(this->content_of(*active))},
+                       {"server", active->current_server.value()}});
+    }
     if (message.until_close && !active->caller->is_alone()) {
         // It could not be passed on, see `answer`; another server may state a length.
         this->on_failure(active, wire::wire_errc::truncated, now);
@@ -1352,8 +1498,9 @@
 
 /// Handles an attempt that was sent but got no acceptable response.
 void front::state::on_failure(const request_handle& active, const status& error, time_point now) {
-    const bool again =
-        active->matched_route->kind == request_kind::safe && this->take_retry(*active, now);
+    const bool again = active->matched_route->kind == request_kind::safe &&
+                       may_repeat(this->guard, this->content_of(*active), now) &&
+                       this->take_retry(*active, now);
     this->log.add(active->trail, telemetry::level::warning, "attempt_failed",
                   {{"server", active->current_server.value()},
                    {"error", error},
@@ -1361,7 +1508,7 @@
                    {"attempt", active->attempts},
                    {"took", age_of(active->sent_at, now)},
                    {"again", again},
-                   {"content", to_text(fingerprint_of(active->message, this->names.key))}});
+                   {"content", to_text(this->content_of(*active))}});
     active->tried_servers.insert(active->current_server);
     if (again) {
         this->requeue(active, milliseconds{0}, now);
@@ -1371,6 +1518,9 @@
 }
 
 void front::state::requeue(const request_handle& active, milliseconds pause, time_point now) {
+    if (this->refuse_if_quarantined(active, now)) {
+        return;
+    }
     service_pool& pool = this->service_of(active->service, now);
     active->retry_at = now + pause;
     if (pause == milliseconds{0} && this->try_send(active, pool, now)) {
@@ -1423,6 +1573,10 @@
             this->refuse(active, gateway_errc::shutting_down, now);
             continue;
         }
+        if (this->refuse_if_quarantined(active, now)) {
+            next = pool.waiting.erase(next);
+            continue;
+        }
         const server_choice found = this->choose_server(*active, pool, now);
         if (found.server != nullptr) {
             next = pool.waiting.erase(next);
@@ -1467,6 +1621,9 @@
         wait_ms = static_cast<double>(admission::time_to_return(limit->share).count());
     }
     wait_ms *= 1.0 + this->random_unit();
+    if (reason == gateway_errc::quarantined) {
+        wait_ms = to_ms(time_until_allowed(this->guard, this->content_of(*active), now));
+    }
     if (const auto end = this->pause_end(*active, pool, now)) {
         wait_ms += to_ms(*end - now);
     }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -51,6 +51,8 @@
 /// Longest time by which the coordinator and the store's answer to this host's own watch may differ
 /// in telling of a new configuration.
 constexpr milliseconds max_catalogue_lag{200};
+/// Part of the first quarantine by which hosts spread the ends of quarantines.
+constexpr double max_quarantine_stagger = 0.5;
 /// Version of the log schema in docs/logs.md; incremented when a field is removed or changes its
 /// meaning.
 constexpr int log_version = 1;
@@ -62,6 +64,12 @@
     return wait + store_answer_time + relay_time;
 }
 
+/// A host's place among all hosts, from 0 to 1.
+double position_of(std::uint64_t seed) {
+    std::mt19937_64 random(seed + 2);
+    return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
 wire::response make_response(int status, std::string_view reason, std::string body) {
     wire::response reply;
     reply.code = status;
@@ -111,7 +119,7 @@
     time_point catalogue_confirmed_until;
     time_point term_confirmed_until;
     int host_count = 1;
-    /// This host's place in the time over which hosts spread their calls, from 0 to 1.
+    /// This host's place in times over which hosts spread what they would do all at once.
     double spread_position = 0;
     /// Nullopt until the store has been reached for the first time.
     std::optional<bool> store_reachable;
@@ -135,7 +143,7 @@
           peers(host_loop, {}, host_settings.responses),
           servers(directory_settings{}),
           frontend(host_loop, this->upstreams, logger, initial_metrics, schema.headers,
-                   front_settings_for(host_settings), seed),
+                   front_settings_for(host_settings, seed), seed),
           ownership(host_loop, this->peers, store, orders, this->servers, logger,
                     coordinator_settings_for(host_settings), this->make_coordinator_handlers(),
                     seed + 1),
@@ -161,13 +169,12 @@
           peer_server(host_loop, [this](const std::shared_ptr<wire::incoming>& request) {
               this->on_peer(request);
           }) {
-        std::mt19937_64 spread_random(seed + 2);
+        this->spread_position = position_of(seed);
         if (const auto counter = initial_metrics.add_counter(
                 "greengagechute_caller_connections_cut_total",
                 "Connections of callers that ended with input that got no answer.")) {
             this->cut_connections = *counter;
         }
-        this->spread_position = std::uniform_real_distribution<double>(0, 1)(spread_random);
         this->front_server.on_closed(
             [this](const wire::closed_connection& ended) { this->on_caller_connection(ended); });
     }
@@ -193,6 +200,12 @@
             this->term_confirmed_until = as_of + max_unconfirmed(coordinator_term_wait);
         };
         handlers.store_era_changed = [this](std::uint64_t era) { this->on_store_era(era); };
+        handlers.suspects_changed = [this](const suspects_update& update) {
+            this->frontend.set_suspects(update, wire::event_loop::now());
+        };
+        handlers.losses_unreported = [this](const std::vector<request_loss>& losses) {
+            this->frontend.return_losses(losses);
+        };
         handlers.hosts_counted = [this](int hosts) {
             this->host_count = hosts;
             this->frontend.set_host_count(hosts);
@@ -209,6 +222,8 @@
             local_report.queues = this->frontend.take_queues();
             local_report.ended = this->frontend.take_ended_servers();
             local_report.leaving = this->frontend.leaving_servers();
+            local_report.losses = this->frontend.take_losses();
+            local_report.cleared = this->frontend.take_cleared();
             return local_report;
         };
         return handlers;
@@ -227,8 +242,11 @@
                                 {"discarded", ended.discarded}});
     }
 
-    static front_settings front_settings_for(const gateway_settings& host_settings) {
+    static front_settings front_settings_for(const gateway_settings& host_settings,
+                                             std::uint64_t seed) {
         front_settings made;
+        made.quarantine.stagger = std::chrono::duration_cast<milliseconds>(
+            made.quarantine.duration * max_quarantine_stagger * position_of(seed));
         made.data_centre = host_settings.data_centre;
         made.regions = host_settings.regions;
         made.retries = host_settings.retries;
--- a/libs/gateway/src/reports.cpp
+++ b/libs/gateway/src/reports.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint64_t fraction_scale = 10'000;
 /// Highest number of samples that is believed.
 constexpr std::int64_t max_samples = 1'000'000;
+/// Highest number of losses of one request that is believed.
+constexpr std::int64_t max_losses = 1'000;
 /// Number of fields of an encoded change: removal of a server, and registration.
 constexpr std::size_t removal_fields = 2;
 constexpr std::size_t entry_fields = 10;
@@ -144,6 +146,62 @@
     return true;
 }
 
+/// False if there are losses, and one is malformed.
+bool decode_losses(const nlohmann::json& parsed, std::vector<request_loss>& losses) {
+    if (!parsed.contains("losses")) {
+        return true;
+    }
+    if (!parsed["losses"].is_array()) {
+        return false;
+    }
+    for (const nlohmann::json& row : parsed["losses"]) {
+        if (!row.is_array() || row.size() != 3 || !row[0].is_number_unsigned() ||
+            !row[1].is_string() || !row[2].is_number_unsigned()) {
+            return false;
+        }
+        losses.push_back({request_fingerprint(row[0].get<std::uint64_t>()),
+                          {server_id(row[1].get<std::string>()), row[2].get<std::uint64_t>()}});
+    }
+    return true;
+}
+
+/// False if there are fingerprints of that name, and one is malformed.
+bool decode_fingerprints(const nlohmann::json& parsed, const char* name,
+                         std::vector<request_fingerprint>& read) {
+    if (!parsed.contains(name)) {
+        return true;
+    }
+    if (!parsed[name].is_array()) {
+        return false;
+    }
+    for (const nlohmann::json& value : parsed[name]) {
+        if (!value.is_number_unsigned()) {
+            return false;
+        }
+        read.emplace_back(value.get<std::uint64_t>());
+    }
+    return true;
+}
+
+bool decode_suspects(const nlohmann::json& parsed, suspects_update& update) {
+    if (!parsed.is_object() || !parsed.contains("version") ||
+        !parsed["version"].is_number_unsigned() || !parsed.contains("requests") ||
+        !parsed["requests"].is_array()) {
+        return false;
+    }
+    update.version = parsed["version"].get<std::uint64_t>();
+    for (const nlohmann::json& row : parsed["requests"]) {
+        if (!row.is_array() || row.size() != 3 || !row[0].is_number_unsigned() ||
+            !row[1].is_number_unsigned() || !row[2].is_number_unsigned()) {
+            return false;
+        }
+        update.requests.push_back({request_fingerprint(row[0].get<std::uint64_t>()),
+                                   static_cast<std::uint32_t>(bounded(row[1], max_losses)),
+                                   milliseconds(bounded(row[2], max_age.count()))});
+    }
+    return decode_fingerprints(parsed, "cleared", update.cleared);
+}
+
 bool decode_limits(const nlohmann::json& parsed, limits_update& update) {
     if (!parsed.is_object() || !parsed.contains("version") ||
         !parsed["version"].is_number_unsigned() || !parsed.contains("services") ||
@@ -198,6 +256,16 @@
             text[name].push_back({life.id.value(), life.start_time_ms});
         }
     }
+    for (const request_loss& loss : report.losses) {
+        text["losses"].push_back(
+            {loss.content.value(), loss.server.id.value(), loss.server.start_time_ms});
+    }
+    for (const request_fingerprint& content : report.cleared) {
+        text["cleared"].push_back(content.value());
+    }
+    if (report.suspects != 0) {
+        text["suspects"] = report.suspects;
+    }
     text["keys"] = nlohmann::json::object();
     for (const auto& [service, keys] : report.keys) {
         text["keys"][service.value()] = keys;
@@ -269,6 +337,11 @@
         }
     }
     report.limits = number_or_zero(parsed, "limits");
+    report.suspects = number_or_zero(parsed, "suspects");
+    if (!decode_losses(parsed, report.losses) ||
+        !decode_fingerprints(parsed, "cleared", report.cleared)) {
+        return false;
+    }
     const auto make_queue = [](const nlohmann::json& sum, const nlohmann::json& count) {
         return sum.is_number_unsigned()
                    ? std::optional(queue_sample{sum.get<double>(),
@@ -316,6 +389,18 @@
             }
         }
     }
+    if (answer.suspects) {
+        nlohmann::json& written = text["suspects"];
+        written["version"] = answer.suspects->version;
+        written["requests"] = nlohmann::json::array();
+        for (const suspect_request& request : answer.suspects->requests) {
+            written["requests"].push_back(
+                {request.content.value(), request.losses, request.remaining.count()});
+        }
+        for (const request_fingerprint& content : answer.suspects->cleared) {
+            written["cleared"].push_back(content.value());
+        }
+    }
     if (answer.servers) {
         nlohmann::json& written = text["servers"];
         written["version"] = answer.servers->version.number;
@@ -406,6 +491,10 @@
     if (parsed.contains("limits") && !decode_limits(parsed["limits"], answer.limits.emplace())) {
         return false;
     }
+    if (parsed.contains("suspects") &&
+        !decode_suspects(parsed["suspects"], answer.suspects.emplace())) {
+        return false;
+    }
     if (parsed.contains("servers") &&
         !decode_directory_update(parsed["servers"], answer.servers.emplace())) {
         return false;
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -249,9 +249,19 @@
         handlers.catalogue_named = [](const gateway::store_version&,
                                       std::optional<gg::milliseconds>) {};
         handlers.term_confirmed = [](gg::milliseconds) {};
+        handlers.suspects_changed = [this](const gateway::suspects_update& update) {
+            apply(this->guard, update, wire::event_loop::now());
+        };
+        handlers.losses_unreported = [this](const std::vector<gateway::request_loss>& lost) {
+            this->losses = lost;
+        };
         handlers.store_era_changed = [](std::uint64_t) {};
         handlers.hosts_counted = [](int) {};
-        handlers.collect_report = [] { return gateway::host_report{}; };
+        handlers.collect_report = [this] {
+            gateway::host_report report;
+            report.losses = std::exchange(this->losses, {});
+            return report;
+        };
         return handlers;
     }
 
@@ -264,6 +274,9 @@
     std::vector<gateway::directory_update> relayed;
     /// Number of complete owner tables that this host has sent.
     int whole_tables = 0;
+    /// Losses that the host still has to report.
+    std::vector<gateway::request_loss> losses;
+    gateway::crash_guard guard = gateway::make_crash_guard(gateway::default_quarantine);
 };
 
 /// Several hosts that share one store, and two servers of a divided service.
@@ -561,6 +574,10 @@
     report.queues[gg::service_id("s")][gg::server_id("i")] = {17, 5};
     report.limits = 9;
     report.leaving = {{gg::server_id("j"), 4}};
+    report.losses = {
+        {gateway::request_fingerprint(18'446'744'073'709'551'615ULL), {gg::server_id("k"), 5}}};
+    report.cleared = {gateway::request_fingerprint(6)};
+    report.suspects = 12;
     gateway::host_report read;
     BOOST_REQUIRE(decode(encode(report), read));
     BOOST_TEST(read.host.value() == "h1");
@@ -572,9 +589,18 @@
     BOOST_TEST(read.limits == 9U);
     BOOST_REQUIRE(read.leaving.size() == 1U);
     BOOST_TEST(read.leaving.front().start_time_ms == 4U);
+    BOOST_REQUIRE(read.losses.size() == 1U);
+    BOOST_CHECK(read.losses.front().content == report.losses.front().content);
+    BOOST_CHECK(read.losses.front().server == report.losses.front().server);
+    BOOST_CHECK(read.cleared == report.cleared);
+    BOOST_TEST(read.suspects == 12U);
     gateway::report_answer answer;
     answer.term = 4;
     answer.catalogue = {2, 31};
+    answer.catalogue_age = 430ms;
+    answer.term_age = 1'200ms;
+    answer.suspects = gateway::suspects_update{
+        7, {{gateway::request_fingerprint(3), 4, 90s}}, {gateway::request_fingerprint(5)}};
     answer.limits = gateway::limits_update{
         7, {{gg::service_id("s"), {{{8, 11}, 0.25}, {{65'532, 65'535}, 0.00001}}}}};
     answer.owners[gg::service_id("s")] = {
@@ -582,6 +608,15 @@
     gateway::report_answer read_answer;
     BOOST_REQUIRE(decode(encode(answer), read_answer));
     BOOST_CHECK((read_answer.catalogue == gateway::store_version{2, 31}));
+    BOOST_CHECK(read_answer.catalogue_age == 430ms);
+    BOOST_CHECK(read_answer.term_age == 1'200ms);
+    BOOST_REQUIRE(read_answer.suspects.has_value());
+    BOOST_TEST(read_answer.suspects->version == 7U);
+    BOOST_REQUIRE(read_answer.suspects->requests.size() == 1U);
+    BOOST_CHECK(read_answer.suspects->requests.front().content == gateway::request_fingerprint(3));
+    BOOST_TEST(read_answer.suspects->requests.front().losses == 4U);
+    BOOST_CHECK(read_answer.suspects->requests.front().remaining == 90s);
+    BOOST_CHECK(read_answer.suspects->cleared == answer.suspects->cleared);
     BOOST_REQUIRE(read_answer.limits.has_value());
     BOOST_TEST(read_answer.limits->version == 7U);
     const auto& limits = read_answer.limits->limits.at(gg::service_id("s"));
@@ -674,11 +709,18 @@
     report.ended.push_back({gg::server_id("a"), 7});
     report.owners[gg::service_id("s")] = 2;
     report.limits = 3;
+    report.losses = {{gateway::request_fingerprint(7), {gg::server_id("a"), 7}}};
+    report.cleared = {gateway::request_fingerprint(8)};
+    report.suspects = 3;
     report.queues[gg::service_id("s")][gg::server_id("a")] = {12, 4};
     gateway::report_answer answer;
     answer.coordinating = true;
     answer.term = 3;
     answer.catalogue = {1, 5};
+    answer.catalogue_age = 90ms;
+    answer.term_age = 90ms;
+    answer.suspects = gateway::suspects_update{
+        3, {{gateway::request_fingerprint(7), 3, 100s}}, {gateway::request_fingerprint(8)}};
     answer.limits = gateway::limits_update{3, {{gg::service_id("s"), {{{8, 11}, 0.25}}}}};
     answer.owners[gg::service_id("s")] = {2, true, {{{0, 65'535}, {gg::server_id("a"), 7}}}};
     gateway::server_entry entry;
@@ -1832,3 +1874,38 @@
     const std::vector<std::string> expected{"during", "after"};
     BOOST_TEST(seen == expected, boost::test_tools::per_element());
 }
+
+// Guards against hosts that send a request on because only other hosts saw servers end under it:
+// also a host that starts later, and with the next coordinator, and when reports were lost.
+BOOST_AUTO_TEST_CASE(all_hosts_learn_of_a_request_that_ends_servers) {
+    coordination_fixture test;
+    test.add_hosts(3);
+    test.run_for(1'500ms);
+    const int first = test.coordinating();
+    BOOST_REQUIRE(first >= 0);
+    const gateway::request_fingerprint content(7);
+    const auto refuses = [&content](const coordinating_host& host) {
+        return time_until_allowed(host.guard, content, wire::event_loop::now()) > 0ms;
+    };
+    for (std::size_t index = 0; index < test.hosts.size(); ++index) {
+        test.hosts[index]->losses = {{content, {gg::server_id("s" + std::to_string(index)), 1}}};
+    }
+    test.run_for(1s);
+    for (const auto& host : test.hosts) {
+        BOOST_TEST(refuses(*host));
+    }
+    test.hosts[static_cast<std::size_t>(first)]->links.lost = true;
+    const gateway::request_fingerprint other(8);
+    for (std::size_t index = 0; index < test.hosts.size(); ++index) {
+        if (static_cast<int>(index) != first) {
+            test.hosts[index]->losses = {{other, {gg::server_id("a" + std::to_string(index)), 1}},
+                                         {other, {gg::server_id("b" + std::to_string(index)), 1}}};
+        }
+    }
+    test.run_for(4s);
+    test.add_host({});
+    test.run_for(1s);
+    BOOST_TEST(refuses(*test.hosts.back()));
+    BOOST_TEST(
+        (time_until_allowed(test.hosts.back()->guard, other, wire::event_loop::now()) > 0ms));
+}
