coordinator: keep the refused requests in the store

After the loss of all hosts a request that had ended three servers could end three more, since the hosts kept their count in memory only.

The coordinator writes the requests that are refused to a row of its own when they change, under the version of its term, and reads that row when it takes over.

gateway_test quarantine_outlives_the_loss_of_all_hosts fails if the row is not read.

--- a/libs/gateway/include/gateway/coordinator.h
+++ b/libs/gateway/include/gateway/coordinator.h
@@ -166,10 +166,12 @@
 std::string encode(const report_answer& answer);
 bool decode(std::string_view text, report_answer& answer);
 
-/// Tables in the store: the coordinator's term, which all hosts watch, and the owners of keys,
-/// which only the coordinator reads and writes.
+/// Tables in the store: the coordinator's term, which all hosts watch, and what only the
+/// coordinator reads and writes: the owners of keys, and the requests that are refused because
+/// servers ended under them.
 inline constexpr std::string_view term_table = "greengagechute-term";
 inline constexpr std::string_view owners_table = "greengagechute-owners";
+inline constexpr std::string_view quarantine_table = "greengagechute-quarantine";
 
 /// Delay before this host takes over, which gives hosts with more capacity the first chance: 0 with
 /// at least `full_capacity`, up to `max_takeover_delay` without any.
--- a/libs/gateway/include/gateway/suspect_requests.h
+++ b/libs/gateway/include/gateway/suspect_requests.h
@@ -5,6 +5,9 @@
 #include "ranges/range_table.h"
 
 #include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace greengagechute::gateway {
@@ -32,4 +35,11 @@
     std::vector<request_fingerprint> cleared;
 };
 
+/// Encodes requests as the row of the store from which a coordinator that knows nothing learns
+/// them.
+/// @param now  wall clock, which tells the next coordinator how much of the time has passed
+std::string encode_row(const std::vector<suspect_request>& requests, wall_time now);
+/// Requests of a row whose time has not passed; empty if the row is malformed.
+std::optional<std::vector<suspect_request>> decode_row(std::string_view text, wall_time now);
+
 }  // namespace greengagechute::gateway
--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -18,6 +18,9 @@
 
 /// Key of the only row of `term_table`.
 constexpr std::string_view term_row = "coordinator";
+/// Key of the only row of `quarantine_table`.
+constexpr std::string_view quarantine_row = "requests";
+constexpr milliseconds quarantine_retry_delay{1'000};
 /// A fencing token consists of the era of the store, the term and the number of the grant. With the
 /// era, tokens rise although a restored store gives out terms again. More than 2^24 grants in a
 /// term would overlap with the next term's tokens, and more than 2^20 terms with the next era's.
@@ -229,6 +232,9 @@
     suspect_ledger suspects{};
     /// Version of the suspect requests that this host got last; 0 if it knows of none.
     std::uint64_t known_suspects = 0;
+    /// The stored quarantine differs from `suspects`, or a commit of it is in progress.
+    bool quarantine_outdated = false;
+    bool storing_quarantine = false;
     /// Copy made when this host became the coordinator: other hosts with the same versions need
     /// only the changes since then.
     std::map<service_id, ranges::range_table> inherited_owners{};
@@ -284,6 +290,9 @@
     void adopt_owners(const service_id& service, managed_service& own, time_point now);
     void update_leases(const service_id& service, time_point now);
     void apply_report(const host_report& report, time_point now);
+    void suspects_changed(time_point now);
+    void read_quarantine();
+    void store_quarantine(time_point now);
     void send(const service_id& service, const ranges::lease_command& what);
     void commit(const service_id& service, const ranges::range_table& table);
     void verify_commit(const service_id& service, const std::string& value,
@@ -741,6 +750,8 @@
     this->owners_verified = !this->term->owners_era || this->term->owners_era == this->store_era;
     telemetry::log_info(this->log, "coordinating",
                         {{"term", number}, {"owners_verified", this->owners_verified}});
+    this->quarantine_outdated = false;
+    this->read_quarantine();
     this->tick();
 }
 
@@ -821,6 +832,7 @@
                 return now - entry.second > forget_after * report_max_age;
             });
             expire(this->suspects, now);
+            this->store_quarantine(now);
             std::erase_if(this->leaving, [now](const auto& entry) {
                 return now - entry.second > leaving_retention;
             });
@@ -920,6 +932,7 @@
     }
     this->reasserting = false;
     this->needs_reassertion = false;
+    this->quarantine_outdated = true;
     this->term->era = this->stored_term->era;
     this->term->owners_era = this->stored_term->owners_era;
     for (auto& [service, own] : this->managed) {
@@ -943,8 +956,8 @@
         this->leaving[life] = now;
     }
     if (record_report(this->suspects, report.losses, report.cleared, now)) {
-        this->handlers.suspects_changed(current_suspects(this->suspects, now));
-        this->answer_held_reports(false, now);
+        this->quarantine_outdated = true;
+        this->suspects_changed(now);
     }
     for (const auto& [service, keys] : report.keys) {
         const auto found = this->managed.find(service);
@@ -983,6 +996,71 @@
     }
 }
 
+/// Tells this host and the others.
+void coordinator::state::suspects_changed(time_point now) {
+    this->handlers.suspects_changed(current_suspects(this->suspects, now));
+    this->answer_held_reports(false, now);
+}
+
+/// Learns which requests earlier coordinators refused: this host may have been started since, and
+/// the others as well.
+void coordinator::state::read_quarantine() {
+    this->store.read(std::string(quarantine_table), call_connection::fresh,
+                     [this, number = this->term->number](const result<table_content>& content) {
+                         if (!this->leading || this->term->number != number) {
+                             return;
+                         }
+                         if (!content) {
+                             this->loop.call_after(quarantine_retry_delay, [this, number] {
+                                 if (this->leading && this->term->number == number) {
+                                     this->read_quarantine();
+                                 }
+                             });
+                             return;
+                         }
+                         const time_point now = wire::event_loop::now();
+                         const auto wall_now =
+                             std::chrono::floor<milliseconds>(std::chrono::system_clock::now());
+                         for (const stored_row& row : content->rows) {
+                             const auto requests = row.key == quarantine_row && !row.removed
+                                                       ? decode_row(row.value, wall_now)
+                                                       : std::nullopt;
+                             if (requests && !requests->empty()) {
+                                 merge(this->suspects, {0, *requests, {}}, now);
+                                 ++this->suspects.version;
+                                 this->suspects_changed(now);
+                             }
+                         }
+                     });
+}
+
+/// Stores which requests are refused, if that has changed.
+void coordinator::state::store_quarantine(time_point now) {
+    if (!this->quarantine_outdated || this->storing_quarantine || !this->store_ok ||
+        !this->store_reachable || this->needs_reassertion) {
+        return;
+    }
+    this->quarantine_outdated = false;
+    this->storing_quarantine = true;
+    std::vector<suspect_request> refused = current_suspects(this->suspects, now).requests;
+    std::erase_if(refused, [this](const suspect_request& request) {
+        return request.losses < this->suspects.requests.limits.losses;
+    });
+    stored_row row;
+    row.table = std::string(quarantine_table);
+    row.key = std::string(quarantine_row);
+    row.value =
+        encode_row(refused, std::chrono::floor<milliseconds>(std::chrono::system_clock::now()));
+    stored_row term_entry;
+    term_entry.table = std::string(term_table);
+    term_entry.key = std::string(term_row);
+    term_entry.version = this->version_of(term_table, term_entry.key);
+    this->store.commit({term_entry}, {row}, call_connection::kept, [this](commit_outcome outcome) {
+        this->storing_quarantine = false;
+        this->quarantine_outdated = this->quarantine_outdated || outcome != commit_outcome::stored;
+    });
+}
+
 /// Mean logarithm of the service times of all servers in milliseconds; empty if none is known.
 std::optional<double> mean_log_ms(const managed_service& own) {
     if (own.speeds.empty()) {
--- a/libs/gateway/tests/crash_test.cpp
+++ b/libs/gateway/tests/crash_test.cpp
@@ -95,8 +95,7 @@
                 wire::stream_handlers handlers;
                 handlers.data = [&, opened](std::string_view) {
                     ++arrivals;
-                    const auto keep = opened;
-                    keep->close();
+                    test.loop.call_after(0ms, [opened] { opened->close(); });
                 };
                 opened->set_handlers(std::move(handlers));
             }));
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -1909,3 +1909,54 @@
     BOOST_TEST(
         (time_until_allowed(test.hosts.back()->guard, other, wire::event_loop::now()) > 0ms));
 }
+
+// Guards against hosts that begin to count again after all of them were lost, so that the request
+// ends three more servers.
+BOOST_AUTO_TEST_CASE(quarantine_outlives_the_loss_of_all_hosts) {
+    coordination_fixture test;
+    test.add_hosts(2);
+    test.run_for(1'500ms);
+    const gateway::request_fingerprint content(7);
+    test.hosts.front()->losses = {{content, {gg::server_id("s1"), 1}},
+                                  {content, {gg::server_id("s2"), 1}}};
+    test.hosts.back()->losses = {{content, {gg::server_id("s3"), 1}}};
+    test.run_for(1'500ms);
+    for (const auto& host : test.hosts) {
+        host->links.lost = true;
+    }
+    test.add_hosts(2);
+    test.run_for(6s);
+    for (std::size_t index = 2; index < test.hosts.size(); ++index) {
+        BOOST_TEST(
+            (time_until_allowed(test.hosts[index]->guard, content, wire::event_loop::now()) > 0ms));
+    }
+}
+
+// Guards against a row of another writer, or of a wrong clock, that ends the process or refuses a
+// request for good.
+BOOST_AUTO_TEST_CASE(odd_quarantine_rows_are_bounded) {
+    const gg::wall_time now{1'000'000ms};
+    const std::vector<gateway::suspect_request> stored{
+        {gateway::request_fingerprint(18'446'744'073'709'551'615ULL), 3, 90s},
+        {gateway::request_fingerprint(8), 4, 10s}};
+    const std::string text = gateway::encode_row(stored, now);
+    const auto later = gateway::decode_row(text, now + 30s);
+    BOOST_REQUIRE(later.has_value());
+    BOOST_REQUIRE(later->size() == 1U);
+    BOOST_CHECK(later->front().content == stored.front().content);
+    BOOST_TEST(later->front().losses == 3U);
+    BOOST_CHECK(later->front().remaining == 60s);
+    const auto far =
+        gateway::decode_row(R"({"requests":[[1,99999999999,18446744073709551615],[2,3,0]]})", now);
+    BOOST_REQUIRE(far.has_value());
+    BOOST_REQUIRE(far->size() == 1U);
+    BOOST_CHECK(far->front().remaining == 1h);
+    for (const char* odd : {"", "[]", "{}", "{\"requests\":7}", "{\"requests\":[[1,2]]}",
+                            "{\"requests\":[[1,-2,3]]}", "{\"requests\":[[\"1\",2,3]]}"}) {
+        BOOST_TEST(!gateway::decode_row(odd, now).has_value());
+    }
+    std::mt19937_64 random(7);
+    for (int count = 0; count < 2'000; ++count) {
+        static_cast<void>(gateway::decode_row(gg::testing::mutated(text, random), now));
+    }
+}
