coordinator: hosts that the store does not answer find the next coordinator through other hosts

When the coordinator is among the hosts without the store, another takes over, the former one steps down, and the others without the store go on asking it.

The coordinator's answers now name three other hosts at equal distances. A host that loses its coordinator asks them for the term that they know and reports to that coordinator if its term is later, also while its own takeover waits for the store.

gateway_test hosts_without_the_store_find_the_next_coordinator failed before.

--- a/libs/gateway/include/gateway/coordinator.h
+++ b/libs/gateway/include/gateway/coordinator.h
@@ -89,6 +89,10 @@
 /// Report that a host sends to the coordinator.
 struct host_report {
     host_id host;
+    /// Address at which the other hosts reach this one; empty in reports of earlier releases.
+    std::optional<wire::endpoint> address;
+    /// Hash of the contacts that the host has; 0 if it has none.
+    std::uint64_t contacts = 0;
     /// Positions of the requested keys, from which the coordinator estimates load.
     std::map<service_id, std::vector<ranges::key_position>> keys;
     /// Measured service times.
@@ -148,6 +152,9 @@
     /// Number of hosts that have reported lately, including this one.
     int hosts = 1;
     std::uint64_t term = 0;
+    /// Some other hosts, which may know the next coordinator when this one is lost and the store
+    /// does not answer. Empty if the host has these contacts.
+    std::vector<wire::endpoint> contacts;
     std::map<service_id, owners_update> owners;
     /// Empty if there are no limits and the host has none, or if the coordinator does not know the
     /// load yet.
@@ -173,6 +180,10 @@
 inline constexpr std::string_view owners_table = "greengagechute-owners";
 inline constexpr std::string_view quarantine_table = "greengagechute-quarantine";
 
+/// Targets of requests between hosts.
+inline constexpr std::string_view report_target = "/coordination/report";
+inline constexpr std::string_view term_target = "/coordination/term";
+
 /// Delay before this host takes over, which gives hosts with more capacity the first chance: 0 with
 /// at least `full_capacity`, up to `max_takeover_delay` without any.
 milliseconds takeover_delay(const coordinator_settings& settings);
@@ -245,6 +256,9 @@
     /// latest at the first tick after `max_report_hold`; at once if this host isn't coordinating
     /// and no takeover is in progress.
     void on_report(const host_report& report, answer_handler answer, time_point now);
+    /// The coordinator's term that this host knows, for hosts that the store does not answer; empty
+    /// if it knows none.
+    std::string known_term() const;
     /// Gives up the term before a planned shutdown. This host doesn't take over again.
     void resign();
     /// Whether this host is the coordinator.
--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -1,6 +1,7 @@
 #include "gateway/coordinator.h"
 
 #include "admission/request_share.h"
+#include "base/hash.h"
 #include "ranges/ownership_gap.h"
 
 #include <nlohmann/json.hpp>
@@ -42,6 +43,8 @@
 /// Number of owner changes that are kept for incremental updates; hosts that are further behind get
 /// the whole table.
 constexpr std::size_t max_history = 64;
+/// Number of other hosts that each host knows.
+constexpr std::size_t max_contacts = 3;
 /// A host that has not reported for this long is not counted as live.
 constexpr milliseconds report_max_age{2'500};
 constexpr int http_ok = 200;
@@ -107,6 +110,26 @@
     return term;
 }
 
+/// Addresses of hosts, by their ids.
+using host_list = std::vector<std::pair<host_id, wire::endpoint>>;
+
+/// Returns the place of the host, or that of the next one.
+template <typename list>
+auto find_host(list& hosts, const host_id& wanted) {
+    return std::lower_bound(
+        hosts.begin(), hosts.end(), wanted,
+        [](const auto& entry, const host_id& host) { return entry.first < host; });
+}
+
+/// 0 for no contacts.
+std::uint64_t hash_of(const std::vector<wire::endpoint>& contacts) {
+    std::uint64_t hash = 0;
+    for (const wire::endpoint& contact : contacts) {
+        hash = hash64(contact.ip + ":" + std::to_string(contact.port), hash);
+    }
+    return hash;
+}
+
 }  // namespace
 
 /// Limit on the requests for a hot bucket of keys.
@@ -192,8 +215,14 @@
     time_point coordinator_without_store_since{};
     bool coordinator_without_store = false;
     std::map<service_id, managed_service> managed{};
-    /// Time of the last report of each host.
+    /// Time of the last report of each host, and the hosts' addresses.
     std::map<host_id, time_point> reports{};
+    host_list host_addresses{};
+    /// Hosts to ask for the coordinator if neither it nor the store answers.
+    std::vector<wire::endpoint> contacts{};
+    bool asking_contacts = false;
+    /// The known term was learned from another host, not from the store.
+    bool term_from_host = false;
     /// Server incarnations that have ended although they may still be registered.
     std::set<ranges::server_instance> ended{};
     /// Server incarnations that have stated to a host that they are leaving, by the time of the
@@ -272,6 +301,9 @@
     bool is_outdated(const host_report& report, time_point now) const;
     void answer_held_reports(bool all, time_point now);
     void publish_routes(const service_id& service, time_point now);
+    std::vector<wire::endpoint> contacts_for(const host_id& host) const;
+    void ask_contacts(std::size_t next);
+    void on_contact_answer(const term_content& read);
     void on_coordinator_lost(std::string_view reason);
     void take_over();
     void read_and_take_over();
@@ -415,6 +447,7 @@
         return;
     }
     this->term = *read;
+    this->term_from_host = false;
     this->missed_reports = 0;
     this->coordinator_without_store = false;
     if (this->leading && read->host != this->identity) {
@@ -488,13 +521,17 @@
         // was stored although it seemed to fail.
         this->on_coordinator_lost("vacant");
     }
-    if (this->leading || this->taking_over || !this->table_loaded || !this->servers.loaded() ||
+    // A takeover by a host that the store does not answer fails only after seconds.
+    const bool takes_over = this->taking_over && !this->term_from_host;
+    if (this->leading || takes_over || !this->table_loaded || !this->servers.loaded() ||
         !this->term || !this->term->address || this->term->host == this->identity) {
         this->schedule_report(this->settings.report_retry_delay);
         return;
     }
     host_report content = this->handlers.collect_report();
     content.host = this->settings.host;
+    content.address = this->settings.address;
+    content.contacts = hash_of(this->contacts);
     content.term = this->known_term;
     content.at_once = this->missed_reports > 0;
     content.owners = this->known_versions;
@@ -503,7 +540,7 @@
     content.suspects = this->known_suspects;
     wire::request message;
     message.method = "POST";
-    message.target = "/coordination/report";
+    message.target = std::string(report_target);
     message.headers.push_back({"Host", this->term->address->ip});
     message.body = encode(content);
     wire::call_options options;
@@ -585,6 +622,9 @@
                              {"ranges", known.ranges.size()}});
         this->handlers.owners_changed(service, known);
     }
+    if (!answer.contacts.empty()) {
+        this->contacts = answer.contacts;
+    }
     if (answer.suspects) {
         this->known_suspects = answer.suspects->version;
         merge(this->suspects, *answer.suspects, now);
@@ -615,7 +655,77 @@
     }
 }
 
+/// Other hosts that the host may ask for the coordinator, at equal distances in the order of their
+/// ids, so that few of them share a data centre.
+std::vector<wire::endpoint> coordinator::state::contacts_for(const host_id& host) const {
+    const auto place = find_host(this->host_addresses, host);
+    const bool reports_itself = place != this->host_addresses.end() && place->first == host;
+    const std::size_t others = this->host_addresses.size() - (reports_itself ? 1 : 0);
+    const std::size_t count = std::min(max_contacts, others);
+    const auto first =
+        static_cast<std::size_t>(place - this->host_addresses.begin()) + (reports_itself ? 1 : 0);
+    std::vector<wire::endpoint> chosen;
+    for (std::size_t number = 0; number < count; ++number) {
+        const std::size_t index = first + number * others / count;
+        chosen.push_back(this->host_addresses[index % this->host_addresses.size()].second);
+    }
+    return chosen;
+}
+
+/// Asks the contacts, one after the other, for a later term than the known one.
+void coordinator::state::ask_contacts(std::size_t next) {
+    if (next == 0 && this->asking_contacts) {
+        return;
+    }
+    this->asking_contacts = next < this->contacts.size() && !this->leading && !this->resigned;
+    if (!this->asking_contacts) {
+        return;
+    }
+    wire::request message;
+    message.method = "GET";
+    message.target = std::string(term_target);
+    message.headers.push_back({"Host", this->contacts[next].ip});
+    wire::call_options options;
+    options.timeout = this->settings.probe_timeout;
+    options.connect_timeout = options.timeout;
+    this->peers.send(this->contacts[next], message, options,
+                     [this, next](const wire::call_result& outcome) {
+                         const auto read = !outcome.error && outcome.message.code == http_ok
+                                               ? decode_term(outcome.message.body)
+                                               : std::nullopt;
+                         const std::uint64_t known = this->term ? this->term->number : 0;
+                         if (read) {
+                             this->on_contact_answer(*read);
+                         }
+                         const bool learned = this->term && this->term->number > known;
+                         this->ask_contacts(learned ? this->contacts.size() : next + 1);
+                     });
+}
+
+/// Follows a coordinator that another host knows, if its term is later than the known one. The
+/// store decides who holds the term; until it answers, this host could only follow a deposed
+/// coordinator.
+void coordinator::state::on_contact_answer(const term_content& read) {
+    const std::uint64_t known = this->term ? this->term->number : 0;
+    const std::uint64_t era = read.era.value_or(0);
+    if (this->leading || this->resigned || !read.address || read.host.empty() ||
+        read.host == this->identity ||
+        std::pair(era, read.number) <= std::pair(this->term_era(), known)) {
+        return;
+    }
+    telemetry::log_info(this->log, "coordinator_named_by_host",
+                        {{"term", read.number}, {"known_term", known}, {"era", era}});
+    this->term = read;
+    this->term_from_host = true;
+    this->missed_reports = 0;
+    this->pending_since.reset();
+    this->coordinator_without_store = false;
+}
+
 void coordinator::state::on_coordinator_lost(std::string_view reason) {
+    if (!this->leading && !this->resigned) {
+        this->ask_contacts(0);
+    }
     if (this->leading || this->taking_over || this->takeover_scheduled || this->resigned ||
         !this->table_loaded || !this->servers.loaded()) {
         return;
@@ -740,6 +850,8 @@
     this->inherited_term = std::exchange(this->known_term, 0);
     this->managed.clear();
     this->reports.clear();
+    this->host_addresses.clear();
+    this->term_from_host = false;
     this->last_tick = now;
     this->last_balance = now;
     this->last_store_contact = now;
@@ -763,6 +875,8 @@
         this->answer_held_reports(true, wire::event_loop::now());
         telemetry::log_info(this->log, "coordination_ended",
                             {{"reason", reason}, {"term", this->term ? this->term->number : 0}});
+        this->contacts = this->contacts_for(this->settings.host);
+        this->ask_contacts(0);
     }
 }
 
@@ -831,6 +945,9 @@
                 constexpr int forget_after = 4;
                 return now - entry.second > forget_after * report_max_age;
             });
+            std::erase_if(this->host_addresses, [this](const auto& entry) {
+                return !this->reports.contains(entry.first);
+            });
             expire(this->suspects, now);
             this->store_quarantine(now);
             std::erase_if(this->leaving, [now](const auto& entry) {
@@ -1480,6 +1597,10 @@
             answer.limits = std::move(limits);
         }
     }
+    std::vector<wire::endpoint> known_hosts = this->contacts_for(report.host);
+    if (report.contacts != hash_of(known_hosts)) {
+        answer.contacts = std::move(known_hosts);
+    }
     if (has_news(this->suspects, report.suspects)) {
         answer.suspects = current_suspects(this->suspects, now);
     }
@@ -1623,6 +1744,14 @@
     state& own = *this->implementation;
     if (own.leading) {
         own.reports[report.host] = now;
+        if (report.address) {
+            const auto place = find_host(own.host_addresses, report.host);
+            if (place != own.host_addresses.end() && place->first == report.host) {
+                place->second = *report.address;
+            } else {
+                own.host_addresses.insert(place, {report.host, *report.address});
+            }
+        }
         own.apply_report(report, now);
     }
     own.held_reports.push_back(
@@ -1633,6 +1762,12 @@
     own.answer_held_reports(!own.leading && !own.taking_over, now);
 }
 
+std::string coordinator::known_term() const {
+    const state& own = *this->implementation;
+    return own.term && own.term->address && !own.term->host.empty() ? encode(*own.term)
+                                                                    : std::string();
+}
+
 void coordinator::resign() {
     this->implementation->resigned = true;
     this->implementation->vacate_term();
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -484,7 +484,7 @@
 
     void on_peer(const std::shared_ptr<wire::incoming>& request) {
         const std::string& target = request->message().target;
-        if (target == "/coordination/report") {
+        if (target == report_target) {
             host_report report;
             if (!decode(request->message().body, report)) {
                 request->answer(make_response(400, "Bad Request", "the report is malformed\n"));
@@ -496,6 +496,10 @@
                     request->answer(make_response(200, "OK", encode(answer)));
                 },
                 wire::event_loop::now());
+        } else if (target == term_target) {
+            const std::string term = this->ownership.known_term();
+            request->answer(
+                make_response(term.empty() ? 404 : 200, term.empty() ? "Not Found" : "OK", term));
         } else if (target == "/metrics") {
             request->answer(make_response(200, "OK", this->metrics.serialise()));
         } else {
--- a/libs/gateway/src/reports.cpp
+++ b/libs/gateway/src/reports.cpp
@@ -146,6 +146,30 @@
     return true;
 }
 
+std::string to_text(const wire::endpoint& address) {
+    return address.ip + ":" + std::to_string(address.port);
+}
+
+/// False if there are contacts, and one is malformed.
+bool decode_contacts(const nlohmann::json& parsed, std::vector<wire::endpoint>& contacts) {
+    if (!parsed.contains("contacts")) {
+        return true;
+    }
+    if (!parsed["contacts"].is_array()) {
+        return false;
+    }
+    for (const nlohmann::json& text : parsed["contacts"]) {
+        const auto address = text.is_string()
+                                 ? wire::parse_endpoint(text.get<std::string>())
+                                 : result<wire::endpoint>(wire::wire_errc::invalid_endpoint);
+        if (!address) {
+            return false;
+        }
+        contacts.push_back(*address);
+    }
+    return true;
+}
+
 /// False if there are losses, and one is malformed.
 bool decode_losses(const nlohmann::json& parsed, std::vector<request_loss>& losses) {
     if (!parsed.contains("losses")) {
@@ -240,6 +264,12 @@
     nlohmann::json text;
     text["host"] = report.host.value();
     text["term"] = report.term;
+    if (report.address) {
+        text["address"] = to_text(*report.address);
+    }
+    if (report.contacts != 0) {
+        text["contacts"] = report.contacts;
+    }
     if (report.at_once) {
         text["at_once"] = true;
     }
@@ -308,6 +338,16 @@
             list.push_back(key.get<ranges::key_position>());
         }
     }
+    if (parsed.contains("address")) {
+        const auto address = parsed["address"].is_string()
+                                 ? wire::parse_endpoint(parsed["address"].get<std::string>())
+                                 : result<wire::endpoint>(wire::wire_errc::invalid_endpoint);
+        if (!address) {
+            return false;
+        }
+        report.address = *address;
+    }
+    report.contacts = number_or_zero(parsed, "contacts");
     report.term = parsed.contains("term") && parsed["term"].is_number_unsigned()
                       ? parsed["term"].get<std::uint64_t>()
                       : 0;
@@ -375,6 +415,9 @@
             text[name] = (*age)->count();
         }
     }
+    for (const wire::endpoint& contact : answer.contacts) {
+        text["contacts"].push_back(to_text(contact));
+    }
     if (answer.limits) {
         nlohmann::json& written = text["limits"];
         written["version"] = answer.limits->version;
@@ -488,6 +531,9 @@
             *age = milliseconds(bounded(*found, max_age.count()));
         }
     }
+    if (!decode_contacts(parsed, answer.contacts)) {
+        return false;
+    }
     if (parsed.contains("limits") && !decode_limits(parsed["limits"], answer.limits.emplace())) {
         return false;
     }
--- a/libs/gateway/tests/fakes.h
+++ b/libs/gateway/tests/fakes.h
@@ -185,6 +185,13 @@
             });
             return;
         }
+        if (this->checks_fences && what.action == ranges::lease_command::kind::grant &&
+            what.fence < this->highest_fence) {
+            this->loop.call_after(milliseconds{1}, [done = std::move(done)] {
+                done(ranges::command_outcome::fenced_off, "");
+            });
+            return;
+        }
         this->highest_fence = std::max(this->highest_fence, what.fence);
         this->check(what, wire::event_loop::now());
         this->loop.call_after(
@@ -192,6 +199,8 @@
     }
 
     epoch highest_fence;
+    /// Grants with a fence below the highest are refused, as if all keys were in one range.
+    bool checks_fences = false;
     /// Grants of keys on which another server has a lease, and grants whose fence is not above
     /// those that other servers have had.
     int overlapping_grants = 0;
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -201,6 +201,13 @@
               if (this->links.lost) {
                   return;
               }
+              if (asked->message().target == gateway::term_target) {
+                  wire::response reply;
+                  reply.code = 200;
+                  reply.body = this->part->known_term();
+                  asked->answer(std::move(reply));
+                  return;
+              }
               gateway::host_report report;
               BOOST_REQUIRE(decode(asked->message().body, report));
               this->part->on_report(
@@ -578,6 +585,8 @@
         {gateway::request_fingerprint(18'446'744'073'709'551'615ULL), {gg::server_id("k"), 5}}};
     report.cleared = {gateway::request_fingerprint(6)};
     report.suspects = 12;
+    report.address = wire::endpoint{"10.1.0.10", 7'720};
+    report.contacts = 13;
     gateway::host_report read;
     BOOST_REQUIRE(decode(encode(report), read));
     BOOST_TEST(read.host.value() == "h1");
@@ -594,11 +603,14 @@
     BOOST_CHECK(read.losses.front().server == report.losses.front().server);
     BOOST_CHECK(read.cleared == report.cleared);
     BOOST_TEST(read.suspects == 12U);
+    BOOST_CHECK(read.address == report.address);
+    BOOST_TEST(read.contacts == 13U);
     gateway::report_answer answer;
     answer.term = 4;
     answer.catalogue = {2, 31};
     answer.catalogue_age = 430ms;
     answer.term_age = 1'200ms;
+    answer.contacts = {{"10.1.0.10", 7'720}, {"10.2.0.10", 7'720}};
     answer.suspects = gateway::suspects_update{
         7, {{gateway::request_fingerprint(3), 4, 90s}}, {gateway::request_fingerprint(5)}};
     answer.limits = gateway::limits_update{
@@ -610,6 +622,7 @@
     BOOST_CHECK((read_answer.catalogue == gateway::store_version{2, 31}));
     BOOST_CHECK(read_answer.catalogue_age == 430ms);
     BOOST_CHECK(read_answer.term_age == 1'200ms);
+    BOOST_CHECK(read_answer.contacts == answer.contacts);
     BOOST_REQUIRE(read_answer.suspects.has_value());
     BOOST_TEST(read_answer.suspects->version == 7U);
     BOOST_REQUIRE(read_answer.suspects->requests.size() == 1U);
@@ -712,6 +725,7 @@
     report.losses = {{gateway::request_fingerprint(7), {gg::server_id("a"), 7}}};
     report.cleared = {gateway::request_fingerprint(8)};
     report.suspects = 3;
+    report.address = wire::endpoint{"10.1.0.10", 7'720};
     report.queues[gg::service_id("s")][gg::server_id("a")] = {12, 4};
     gateway::report_answer answer;
     answer.coordinating = true;
@@ -719,6 +733,7 @@
     answer.catalogue = {1, 5};
     answer.catalogue_age = 90ms;
     answer.term_age = 90ms;
+    answer.contacts = {{"10.1.0.10", 7'720}};
     answer.suspects = gateway::suspects_update{
         3, {{gateway::request_fingerprint(7), 3, 100s}}, {gateway::request_fingerprint(8)}};
     answer.limits = gateway::limits_update{3, {{gg::service_id("s"), {{{8, 11}, 0.25}}}}};
@@ -1960,3 +1975,32 @@
         static_cast<void>(gateway::decode_row(gg::testing::mutated(text, random), now));
     }
 }
+
+// Guards against a host that keeps the owners of a deposed coordinator for as long as the store
+// does not answer it: only the store names the next coordinator, which the host could reach.
+BOOST_AUTO_TEST_CASE(hosts_without_the_store_find_the_next_coordinator) {
+    coordination_fixture test;
+    test.add_hosts(4);
+    test.run_for(1'500ms);
+    const int first = test.coordinating();
+    BOOST_REQUIRE(first >= 0);
+    const int other = (first + 1) % 4;
+    for (const int index : {first, other}) {
+        test.hosts[static_cast<std::size_t>(index)]->links.store_lost = true;
+        test.hosts[static_cast<std::size_t>(index)]->part->set_store_reachable(false);
+    }
+    test.run_for(2s);
+    test.orders.checks_fences = true;
+    test.run_for(3s);
+    const int next = test.coordinating();
+    BOOST_REQUIRE(next >= 0);
+    BOOST_REQUIRE(next != first);
+    BOOST_REQUIRE(next != other);
+    test.move_all_keys_to_b();
+    test.run_for(1'500ms);
+    for (const auto& host : test.hosts) {
+        BOOST_TEST(std::all_of(
+            host->owners.ranges.begin(), host->owners.ranges.end(),
+            [](const ranges::range_owner& entry) { return entry.owner.id.value() == "b"; }));
+    }
+}
