gateway: hosts that the store does not answer get the configuration from the coordinator

A row is applied by its version, whoever gave it.

gateway_test host_without_the_store_gets_the_configuration_from_the_coordinator fails without the second call.

--- a/libs/gateway/include/gateway/coordinator.h
+++ b/libs/gateway/include/gateway/coordinator.h
@@ -172,6 +172,9 @@
 bool decode(std::string_view text, host_report& report);
 std::string encode(const report_answer& answer);
 bool decode(std::string_view text, report_answer& answer);
+/// A row of the store that one host gives to another: its key, version and value.
+std::string encode(const stored_row& row);
+bool decode(std::string_view text, stored_row& row);
 
 /// Tables in the store: the coordinator's term, which all hosts watch, and what only the
 /// coordinator reads and writes: the owners of keys, and the requests that are refused because
@@ -183,6 +186,7 @@
 /// Targets of requests between hosts.
 inline constexpr std::string_view report_target = "/coordination/report";
 inline constexpr std::string_view term_target = "/coordination/term";
+inline constexpr std::string_view catalogue_target = "/coordination/configuration";
 
 /// Delay before this host takes over, which gives hosts with more capacity the first chance: 0 with
 /// at least `full_capacity`, up to `max_takeover_delay` without any.
@@ -259,6 +263,10 @@
     /// The coordinator's term that this host knows, for hosts that the store does not answer; empty
     /// if it knows none.
     std::string known_term() const;
+    /// Asks the coordinator for the newest configuration row that it has read, for a host that the
+    /// store does not answer.
+    /// @param done  called with the row, or without one if there is no answer
+    void read_catalogue(std::function<void(std::optional<stored_row>)> done) const;
     /// Gives up the term before a planned shutdown. This host doesn't take over again.
     void resign();
     /// Whether this host is the coordinator.
--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -1762,6 +1762,28 @@
     own.answer_held_reports(!own.leading && !own.taking_over, now);
 }
 
+void coordinator::read_catalogue(std::function<void(std::optional<stored_row>)> done) const {
+    state& own = *this->implementation;
+    if (own.leading || !own.term || !own.term->address || own.term->host == own.identity) {
+        done(std::nullopt);
+        return;
+    }
+    wire::request message;
+    message.method = "GET";
+    message.target = std::string(catalogue_target);
+    message.headers.push_back({"Host", own.term->address->ip});
+    wire::call_options options;
+    options.timeout = own.settings.report_timeout;
+    options.connect_timeout = options.timeout;
+    own.peers.send(*own.term->address, message, options,
+                   [done = std::move(done)](const wire::call_result& outcome) {
+                       stored_row row;
+                       const bool read = !outcome.error && outcome.message.code == http_ok &&
+                                         decode(outcome.message.body, row);
+                       done(read ? std::optional(std::move(row)) : std::nullopt);
+                   });
+}
+
 std::string coordinator::known_term() const {
     const state& own = *this->implementation;
     return own.term && own.term->address && !own.term->host.empty() ? encode(*own.term)
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -104,8 +104,10 @@
     wire::server ready_server;
     wire::server peer_server;
     std::shared_ptr<const catalogue> config;
-    /// Version of the newest configuration row that was read, valid or not.
-    store_version catalogue_version;
+    /// The newest configuration row that was read, valid or not; its number is 0 before.
+    stored_row catalogue_row;
+    /// The coordinator was asked for its configuration row.
+    bool reading_catalogue = false;
     /// Since when the coordinator has named a newer configuration row than this host has read.
     std::optional<time_point> catalogue_missing_since;
     /// `update_watches` has seen this host coordinate.
@@ -278,43 +280,52 @@
     void on_catalogue(const table_update& update) {
         this->on_store_era(update.content.version.era);
         for (const stored_row& row : update.content.rows) {
-            if (row.key != this->format.catalogue_row || row.removed) {
-                continue;
+            if (row.key == this->format.catalogue_row && !row.removed) {
+                this->apply_catalogue_row(row, "store", update.waited);
             }
-            this->catalogue_version = row.version;
-            this->ownership.set_catalogue_version(row.version);
-            std::string reason;
-            auto read = this->format.parse_catalogue(row.value, reason);
-            if (!read) {
-                telemetry::log_error(this->log, "configuration_refused",
-                                     {{"row_version", row.version.number}, {"reason", reason}});
-                continue;
-            }
-            if (this->config && read->version <= this->config->version) {
-                if (read->version < this->config->version) {
-                    telemetry::log_warning(
-                        this->log, "configuration_older",
-                        {{"version", read->version}, {"in_force", this->config->version}});
-                }
-                continue;
+        }
+    }
+
+    /// @param source  who told it, for the log
+    /// @param waited  time from the call that brought the row to its answer
+    void apply_catalogue_row(const stored_row& row, std::string_view source, milliseconds waited) {
+        if (row.version <= this->catalogue_row.version) {
+            return;
+        }
+        this->catalogue_row = row;
+        this->ownership.set_catalogue_version(row.version);
+        std::string reason;
+        auto read = this->format.parse_catalogue(row.value, reason);
+        if (!read) {
+            telemetry::log_error(this->log, "configuration_refused",
+                                 {{"row_version", row.version.number}, {"reason", reason}});
+            return;
+        }
+        if (this->config && read->version <= this->config->version) {
+            if (read->version < this->config->version) {
+                telemetry::log_warning(
+                    this->log, "configuration_older",
+                    {{"version", read->version}, {"in_force", this->config->version}});
             }
-            index_routes(*read);
-            telemetry::log_info(this->log, "configuration_in_force",
-                                {{"version", read->version},
-                                 {"row_version", row.version.number},
-                                 {"waited", update.waited},
-                                 {"routes", read->routes.size()},
-                                 {"services", read->services.size()},
-                                 {"idle_limit", read->limits.idle_timeout}});
-            this->config = std::make_shared<const catalogue>(std::move(*read));
-            wire::server_limits limits;
-            limits.message = {this->config->limits.header_bytes, this->config->limits.body_bytes};
-            limits.header_timeout = this->config->limits.header_timeout;
-            limits.idle_timeout = this->config->limits.idle_timeout;
-            this->front_server.set_limits(limits);
-            this->frontend.set_catalogue(this->config);
-            this->ownership.set_catalogue(this->config);
+            return;
         }
+        index_routes(*read);
+        telemetry::log_info(this->log, "configuration_in_force",
+                            {{"version", read->version},
+                             {"row_version", row.version.number},
+                             {"source", source},
+                             {"waited", waited},
+                             {"routes", read->routes.size()},
+                             {"services", read->services.size()},
+                             {"idle_limit", read->limits.idle_timeout}});
+        this->config = std::make_shared<const catalogue>(std::move(*read));
+        wire::server_limits limits;
+        limits.message = {this->config->limits.header_bytes, this->config->limits.body_bytes};
+        limits.header_timeout = this->config->limits.header_timeout;
+        limits.idle_timeout = this->config->limits.idle_timeout;
+        this->front_server.set_limits(limits);
+        this->frontend.set_catalogue(this->config);
+        this->ownership.set_catalogue(this->config);
     }
 
     /// Asks the store again if the coordinator has read a configuration that this host still lacks
@@ -322,7 +333,7 @@
     /// the pending call, or its connection may be silent.
     void on_catalogue_named(const store_version& named, std::optional<milliseconds> age,
                             time_point now) {
-        if (named <= this->catalogue_version) {
+        if (named <= this->catalogue_row.version) {
             this->catalogue_missing_since.reset();
             if (age) {
                 this->catalogue_watch.confirm(now - *age);
@@ -334,9 +345,29 @@
         if (!this->catalogue_missing_since) {
             this->catalogue_missing_since = now;
         } else if (now - *this->catalogue_missing_since >= max_catalogue_lag) {
-            this->catalogue_missing_since = now;
             this->catalogue_watch.poll_now();
+            if (now - *this->catalogue_missing_since >= max_catalogue_lag + store_answer_time) {
+                this->read_catalogue_from_coordinator();
+            }
+        }
+    }
+
+    /// For a host that the store does not answer.
+    void read_catalogue_from_coordinator() {
+        if (this->reading_catalogue) {
+            return;
         }
+        this->reading_catalogue = true;
+        this->ownership.read_catalogue(
+            [this, asked_at = wire::event_loop::now()](const std::optional<stored_row>& row) {
+                this->reading_catalogue = false;
+                if (row && row->key == this->format.catalogue_row) {
+                    this->on_store_era(row->version.era);
+                    this->apply_catalogue_row(
+                        *row, "coordinator",
+                        std::chrono::floor<milliseconds>(wire::event_loop::now() - asked_at));
+                }
+            });
     }
 
     void on_directory_changed(const table_update& update) {
@@ -500,6 +531,10 @@
             const std::string term = this->ownership.known_term();
             request->answer(
                 make_response(term.empty() ? 404 : 200, term.empty() ? "Not Found" : "OK", term));
+        } else if (target == catalogue_target) {
+            const bool known = this->catalogue_row.version.number != 0;
+            request->answer(make_response(known ? 200 : 404, known ? "OK" : "Not Found",
+                                          known ? encode(this->catalogue_row) : std::string()));
         } else if (target == "/metrics") {
             request->answer(make_response(200, "OK", this->metrics.serialise()));
         } else {
--- a/libs/gateway/src/reports.cpp
+++ b/libs/gateway/src/reports.cpp
@@ -555,4 +555,24 @@
     return true;
 }
 
+std::string encode(const stored_row& row) {
+    const nlohmann::json text{{"key", row.key},
+                              {"version", row.version.number},
+                              {"era", row.version.era},
+                              {"value", row.value}};
+    return text.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+bool decode(std::string_view text, stored_row& row) {
+    const nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
+    if (!parsed.is_object() || !parsed.contains("key") || !parsed["key"].is_string() ||
+        !parsed.contains("value") || !parsed["value"].is_string()) {
+        return false;
+    }
+    row.key = parsed["key"].get<std::string>();
+    row.value = parsed["value"].get<std::string>();
+    row.version = {number_or_zero(parsed, "era"), number_or_zero(parsed, "version")};
+    return row.version.number != 0;
+}
+
 }  // namespace greengagechute::gateway
--- a/libs/gateway/tests/host_test.cpp
+++ b/libs/gateway/tests/host_test.cpp
@@ -102,6 +102,8 @@
     std::unique_ptr<gateway::gateway> host;
     /// What the coordinator answers to reports.
     gateway::report_answer answer;
+    /// Configuration row that the coordinator gives to hosts that ask for it.
+    gateway::stored_row relayed_catalogue;
     /// Reports that the coordinator has got.
     std::vector<gateway::host_report> reports;
     std::unique_ptr<wire::server> coordinator;
@@ -136,9 +138,14 @@
     void start_coordinator(int term = 1) {
         this->coordinator = std::make_unique<wire::server>(
             this->loop, [this](const std::shared_ptr<wire::incoming>& asked) {
-                BOOST_REQUIRE(decode(asked->message().body, this->reports.emplace_back()));
                 wire::response reply;
                 reply.code = 200;
+                if (asked->message().target == gateway::catalogue_target) {
+                    reply.body = encode(this->relayed_catalogue);
+                    asked->answer(reply);
+                    return;
+                }
+                BOOST_REQUIRE(decode(asked->message().body, this->reports.emplace_back()));
                 reply.body = encode(this->answer);
                 this->loop.call_after(50ms, [asked, reply] { asked->answer(reply); });
             });
@@ -331,6 +338,22 @@
     BOOST_TEST(test.ask("/new/x") != 404);
 }
 
+// Guards against a host that keeps an old configuration for as long as the store turns it away,
+// although the coordinator, which it reaches, has the newest one.
+BOOST_AUTO_TEST_CASE(host_without_the_store_gets_the_configuration_from_the_coordinator) {
+    host_fixture test;
+    test.start_coordinator();
+    test.start_host();
+    test.run_for(1s);
+    test.store.away = true;
+    test.run_for(1s);
+    test.store.put(catalogue_table, catalogue_row, "2");
+    test.answer.catalogue = test.store.version_of(catalogue_table, catalogue_row);
+    test.relayed_catalogue = {"", catalogue_row, "2", test.answer.catalogue};
+    test.run_for(configuration_bound);
+    BOOST_TEST(test.ask("/new/x") != 404);
+}
+
 // Guards against requests to a server that left while the watch of the servers was silent and the
 // coordinator relayed none.
 BOOST_AUTO_TEST_CASE(silent_watch_does_not_hide_that_a_server_leaves) {
