front: end the attempts at a server that has started again

Requests waited until their deadline for a server whose next start had registered, and a crash that closes no connection counted for no request.

When an entry shows a later start of the server under its id, the attempts under way at the former instance end at once: a request that may be repeated goes to another server, others get 502. They count as losses, as do requests whose deadline passed within the 10 s before; without such an entry a timeout counts nothing.

gateway_test requests_at_a_replaced_server_end_at_once fails without the change (three checks).

--- a/libs/gateway/include/gateway/crash_attribution.h
+++ b/libs/gateway/include/gateway/crash_attribution.h
@@ -10,16 +10,26 @@
 
 namespace greengagechute::gateway {
 
-/// A request whose connection to its server ended before the answer.
+/// How a request at a server was interrupted.
+enum class interruption {
+    /// Its connection ended before the answer.
+    closed,
+    /// Its deadline passed. Servers are slow, frozen and cut off more often than they crash
+    /// silently.
+    unanswered,
+};
+
 struct interrupted_request {
     request_fingerprint content;
     ranges::server_instance server;
     time_point when;
+    interruption how = interruption::closed;
 };
 
 /// What shows that a server instance has ended.
 enum class end_evidence {
-    /// It refuses connections. So do an overloaded server and a path that is cut.
+    /// It refuses connections. So do an overloaded server and a path that is cut. Explains closed
+    /// connections only.
     refused_connection,
     /// Another instance has its id or its address.
     replaced,
@@ -52,7 +62,7 @@
                                                const ranges::server_instance& server,
                                                end_evidence evidence, time_point now);
 
-/// Forgets the interruptions at a server that takes connections: it has not ended.
+/// Forgets the closed connections to a server that takes new ones: it has not ended.
 void dismiss(crash_attribution& state, const ranges::server_instance& server);
 
 /// Number of servers at which requests with this content were interrupted and which may have ended.
--- a/libs/gateway/include/gateway/errors.h
+++ b/libs/gateway/include/gateway/errors.h
@@ -27,6 +27,7 @@
     shutting_down = 1515,
     servers_paused = 1516,
     key_limited = 1517,
+    server_replaced = 1518,
 };
 
 /// Returns all error codes of the gateway library with their names and messages.
--- a/libs/gateway/src/crash_attribution.cpp
+++ b/libs/gateway/src/crash_attribution.cpp
@@ -20,7 +20,8 @@
 bool is_cut(const crash_attribution& state, time_point when) {
     std::set<ranges::server_instance> servers;
     for (const interrupted_request& other : state.interrupted) {
-        if (std::chrono::abs(other.when - when) <= state.settings.cut_window) {
+        if (other.how == interruption::closed &&
+            std::chrono::abs(other.when - when) <= state.settings.cut_window) {
             servers.insert(other.server);
         }
     }
@@ -40,8 +41,9 @@
     forget_old(state, now);
     std::set<request_fingerprint> explained;
     for (const interrupted_request& request : state.interrupted) {
-        if (request.server == server &&
-            (evidence == end_evidence::replaced || !is_cut(state, request.when))) {
+        const bool explains = evidence == end_evidence::replaced ||
+                              (request.how == interruption::closed && !is_cut(state, request.when));
+        if (request.server == server && explains) {
             explained.insert(request.content);
         }
     }
@@ -53,7 +55,7 @@
 
 void dismiss(crash_attribution& state, const ranges::server_instance& server) {
     std::erase_if(state.interrupted, [&server](const interrupted_request& request) {
-        return request.server == server;
+        return request.server == server && request.how == interruption::closed;
     });
 }
 
@@ -61,7 +63,8 @@
                                       time_point now) {
     std::set<ranges::server_instance> servers;
     for (const interrupted_request& request : state.interrupted) {
-        if (request.content == content && now - request.when <= state.settings.memory) {
+        if (request.content == content && request.how == interruption::closed &&
+            now - request.when <= state.settings.memory) {
             servers.insert(request.server);
         }
     }
--- a/libs/gateway/src/errors.cpp
+++ b/libs/gateway/src/errors.cpp
@@ -26,6 +26,7 @@
     error_entry{1515, "shutting_down", "the process ends before the request could be answered"},
     error_entry{1516, "servers_paused", "the servers have asked for a pause that ends too late"},
     error_entry{1517, "key_limited", "the key gets more requests than its server can run"},
+    error_entry{1518, "server_replaced", "the server ended while it ran the request"},
 };
 
 }  // namespace
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -327,7 +327,9 @@
     bool refuse_if_limited(const request_handle& active, service_pool& pool, time_point now);
     request_fingerprint content_of(active_request& active) const;
     bool refuse_if_quarantined(const request_handle& active, time_point now);
-    void note_interrupted(const request_handle& active, const server_state* server, time_point now);
+    void note_interrupted(const request_handle& active, const server_state* server,
+                          interruption how, time_point now);
+    void end_attempts_at(const ranges::server_instance& ended, time_point now);
     void check_server(const ranges::server_instance& server, const wire::endpoint& address);
     void on_server_ended(const ranges::server_instance& server, end_evidence evidence,
                          time_point now);
@@ -468,13 +470,17 @@
             return gone;
         });
     }
+    std::vector<ranges::server_instance> replaced;
     for (const auto& [id, entry] : servers.servers()) {
         service_pool& service = impl.service_of(entry.service, now);
         server_state& server = service.servers[id];
         const bool known = server.entry.life == entry.life;
         if (!known) {
             impl.keep_notices(server, now);
-            impl.on_server_ended(server.entry.life, end_evidence::replaced, now);
+            if (server.entry.life.start_time_ms != 0 &&
+                server.entry.life.start_time_ms < entry.life.start_time_ms) {
+                replaced.push_back(server.entry.life);
+            }
             server = {};
             server.first_seen = now;
             if (const auto former = impl.former_notices.find(entry.life);
@@ -490,6 +496,9 @@
         server.entry = entry;
         server.registration_lapsed = servers.awaits_reregistration(id);
     }
+    for (const ranges::server_instance& ended : replaced) {
+        impl.end_attempts_at(ended, now);
+    }
     for (auto& [id, service] : impl.services) {
         impl.schedule_dispatch(id, milliseconds{0});
     }
@@ -951,17 +960,38 @@
     return true;
 }
 
-/// Remembers a request whose connection to a server broke, and asks whether the server has ended.
-/// The end of a server that leaves is planned.
+/// Remembers a request that was interrupted at a server, and asks whether the server has ended if
+/// it closed the connection. The end of a server that leaves is planned.
 void front::state::note_interrupted(const request_handle& active, const server_state* server,
-                                    time_point now) {
+                                    interruption how, time_point now) {
     if (server == nullptr || server->entry.life != active->current_instance ||
         server->entry.draining || server->notices.leaving_since) {
         return;
     }
     record_interruption(this->guard.attribution,
-                        {this->content_of(*active), active->current_instance, now});
-    this->check_server(server->entry.life, server->entry.address);
+                        {this->content_of(*active), active->current_instance, now, how});
+    if (how == interruption::closed) {
+        this->check_server(server->entry.life, server->entry.address);
+    }
+}
+
+/// Ends the attempts at a server instance that was replaced: they are never answered.
+void front::state::end_attempts_at(const ranges::server_instance& ended, time_point now) {
+    std::vector<request_handle> interrupted;
+    for (const request_handle& active : this->open) {
+        if (active->in_flight && active->current_instance == ended) {
+            interrupted.push_back(active);
+            record_interruption(this->guard.attribution,
+                                {this->content_of(*active), ended, now, interruption::closed});
+        }
+    }
+    this->on_server_ended(ended, end_evidence::replaced, now);
+    for (const request_handle& active : interrupted) {
+        this->release_server(active);
+        this->upstreams.cancel(active->call);
+        active->may_have_run = true;
+        this->on_failure(active, make_error_code(gateway_errc::server_replaced), now);
+    }
 }
 
 /// Opens a connection to a server that may have ended, and closes it at once if it is accepted.
@@ -1296,7 +1326,7 @@
         if (outcome.error == wire::wire_errc::reset ||
             outcome.error == wire::wire_errc::closed_before_response ||
             outcome.error == wire::wire_errc::truncated) {
-            this->note_interrupted(active, server, now);
+            this->note_interrupted(active, server, interruption::closed, now);
         }
         this->on_no_answer(active, server, outcome.error, now);
         return;
@@ -1728,6 +1758,7 @@
             this->service_of(active->service, now).servers.find(active->current_server);
         if (server != this->service_of(active->service, now).servers.end()) {
             record_no_response(server->second, this->settings.balancer, now);
+            this->note_interrupted(active, &server->second, interruption::unanswered, now);
         }
     }
     if (active->may_have_run) {
--- a/libs/gateway/tests/crash_test.cpp
+++ b/libs/gateway/tests/crash_test.cpp
@@ -130,6 +130,42 @@
     BOOST_TEST(test.front->take_losses().empty());
 }
 
+// Guards against requests that wait until their deadline for a server that has started again, and
+// against a crash that closes no connection and so never counts.
+BOOST_AUTO_TEST_CASE(requests_at_a_replaced_server_end_at_once) {
+    front_fixture test;
+    fake_server silent(test.loop, [](const std::shared_ptr<wire::incoming>&) {});
+    test.add("s", "plain", silent.address());
+    test.loop.call_after(200ms, [&] {
+        server_entry next = *test.servers.find(server_id("s"));
+        next.life.start_time_ms = 2;
+        test.servers.apply({{next.life.id, next, at(1)}}, at(1), wire::event_loop::now());
+        test.front->set_servers(test.servers, wire::event_loop::now(), wire::event_loop::now());
+    });
+    const time_point asked_at = wire::event_loop::now();
+    BOOST_TEST(test.ask("GET", "/safe/x", "2000").message.code == outcome_unknown);
+    BOOST_TEST((wire::event_loop::now() - asked_at < 600ms));
+    const std::vector<request_loss> losses = test.front->take_losses();
+    BOOST_REQUIRE(losses.size() == 1U);
+    BOOST_TEST(losses.front().server.id.value() == "s");
+    BOOST_TEST(losses.front().server.start_time_ms == 1U);
+}
+
+// Guards against timeouts that count as crashes: a server that was frozen answers the next request,
+// one that was started again after a timeout may have crashed.
+BOOST_AUTO_TEST_CASE(timeout_counts_only_if_the_server_was_replaced) {
+    crash_guard guard = make_crash_guard(default_quarantine);
+    for (int server = 0; server < 3; ++server) {
+        record_interruption(guard.attribution,
+                            {poison, instance(server), start, interruption::unanswered});
+        BOOST_TEST(
+            note_ended(guard, instance(server), end_evidence::refused_connection, start).empty());
+    }
+    BOOST_TEST(may_repeat(guard, poison, start));
+    BOOST_TEST(note_ended(guard, instance(0), end_evidence::replaced, start + 2s).size() == 1U);
+    BOOST_TEST(note_ended(guard, instance(1), end_evidence::replaced, start + 11s).empty());
+}
+
 // Guards against a cut of a host's network, in which connections to many servers break and new ones
 // are refused, that counts as the end of each.
 BOOST_AUTO_TEST_CASE(cut_network_is_no_loss) {
