front: a pause holds for the next start of the server as well

Cause: an answer names the server's id and not its start, so that the host counted the pause for the former instance and forgot it with that. The pause, which ends within a minute, is now kept for the next start under the id.

gateway_test pause_stated_before_the_next_start_is_known_holds failed before (31 checks).

--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -481,11 +481,16 @@
                 server.entry.life.start_time_ms < entry.life.start_time_ms) {
                 replaced.push_back(server.entry.life);
             }
+            // An answer does not say which start of the server it is of: a pause may have been
+            // stated by this one.
+            const auto pause = server.notices.paused_until;
             server = {};
             server.first_seen = now;
+            server.notices.paused_until = pause;
             if (const auto former = impl.former_notices.find(entry.life);
                 former != impl.former_notices.end()) {
                 server.notices = former->second.first;
+                server.notices.paused_until = std::max(server.notices.paused_until, pause);
                 impl.former_notices.erase(former);
             }
         }
--- a/libs/gateway/tests/notices_test.cpp
+++ b/libs/gateway/tests/notices_test.cpp
@@ -277,6 +277,26 @@
     test.ask_until_first_answers("/safe/x");
 }
 
+// Guards against requests within the pause of a server that has started again under its id: its
+// answers do not say which start they are of, and its entry may be learned after them.
+BOOST_AUTO_TEST_CASE(pause_stated_before_the_next_start_is_known_holds) {
+    two_servers test;
+    test.set_entry("s1", "plain", 1, test.first.address(), 1);
+    test.stated = pause("0.8");
+    test.ask_until_first_answers("/safe/x");
+    const gg::time_point asked = wire::event_loop::now();
+    const int before = test.first.requests;
+    test.stated = {};
+    test.set_entry("s1", "plain", 2, test.first.address(), 2);
+    while (wire::event_loop::now() < asked + 600ms) {
+        BOOST_TEST(test.ask("GET", "/safe/x", "50").message.code == 503);
+        test.run_for(20ms);
+    }
+    BOOST_TEST(test.first.requests == before);
+    test.run_for(250ms);
+    test.ask_until_first_answers("/safe/x");
+}
+
 // Guards against requests that wait for a pause although it ends too late for them, against a time
 // to return that lies within the pause, and against requests refused although they can still wait.
 BOOST_AUTO_TEST_CASE(requests_wait_for_a_pause_only_if_it_ends_in_time) {
