front: count a crash that takes the server's machine with it

A server whose machine is lost with it closes its connections, if at all, and then does not answer new ones; such an end counted only when another instance registered, too late for the three sends that the platform allows.

A connection that is neither accepted nor refused within half a second now counts like a refused one, for requests whose connection was closed. gateway_test machine_that_stops_answering_is_a_loss fails without the change.

--- a/libs/gateway/include/gateway/crash_attribution.h
+++ b/libs/gateway/include/gateway/crash_attribution.h
@@ -28,9 +28,10 @@
 
 /// What shows that a server instance has ended.
 enum class end_evidence {
-    /// It refuses connections. So do an overloaded server and a path that is cut. Explains closed
-    /// connections only.
-    refused_connection,
+    /// It refuses connections, or its machine does not answer. So do an overloaded server and a
+    /// path
+    /// that is cut. Explains closed connections only.
+    unreachable,
     /// Another instance has its id or its address.
     replaced,
 };
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -43,7 +43,7 @@
 /// Delay before a server whose connection broke is asked for another one. A process that ends
 /// closes its listener and its connections within this time.
 constexpr milliseconds server_check_delay{30};
-/// Time in which a server accepts a connection, or its system refuses one.
+/// Time in which a server accepts a connection, or its machine refuses one, unless that is lost.
 constexpr milliseconds server_check_timeout{500};
 /// Delay before retrying a server to which no connection could be established.
 constexpr milliseconds unreachable_retry_delay{80};
@@ -1014,25 +1014,26 @@
         }
         this->server_checks.erase(found);
     };
-    check->second.timer =
-        this->loop.call_after(server_check_delay, [this, server, address, end_check] {
-            server_check& running = this->server_checks.at(server);
-            running.timer =
-                this->loop.call_after(server_check_timeout, [end_check] { end_check(true); });
-            wire::stream_handlers handlers;
-            handlers.connected = [this, server, end_check] {
-                dismiss(this->guard.attribution, server);
-                end_check(true);
-            };
-            handlers.ended = [this, server, end_check](wire::stream_end how) {
-                end_check(false);
-                if (how == wire::stream_end::refused) {
-                    this->on_server_ended(server, end_evidence::refused_connection,
-                                          wire::event_loop::now());
-                }
-            };
-            running.connection = wire::stream::connect(this->loop, address, std::move(handlers));
+    check->second.timer = this->loop.call_after(server_check_delay, [this, server, address,
+                                                                     end_check] {
+        server_check& running = this->server_checks.at(server);
+        running.timer = this->loop.call_after(server_check_timeout, [this, server, end_check] {
+            end_check(true);
+            this->on_server_ended(server, end_evidence::unreachable, wire::event_loop::now());
         });
+        wire::stream_handlers handlers;
+        handlers.connected = [this, server, end_check] {
+            dismiss(this->guard.attribution, server);
+            end_check(true);
+        };
+        handlers.ended = [this, server, end_check](wire::stream_end how) {
+            end_check(false);
+            if (how == wire::stream_end::refused) {
+                this->on_server_ended(server, end_evidence::unreachable, wire::event_loop::now());
+            }
+        };
+        running.connection = wire::stream::connect(this->loop, address, std::move(handlers));
+    });
 }
 
 /// Counts the requests that ran at a server instance when it ended.
@@ -1310,7 +1311,7 @@
                       {{"server", active->current_server.value()}, {"error", outcome.error}});
         this->note_no_response(server, now);
         if (outcome.error == wire::wire_errc::refused) {
-            this->on_server_ended(active->current_instance, end_evidence::refused_connection, now);
+            this->on_server_ended(active->current_instance, end_evidence::unreachable, now);
         }
         active->tried_servers.insert(active->current_server);
         if (++active->unreachable_attempts >= max_unreachable_attempts) {
--- a/libs/gateway/tests/crash_test.cpp
+++ b/libs/gateway/tests/crash_test.cpp
@@ -1,7 +1,11 @@
 #include "front_fixture.h"
 #include "gateway/crash_guard.h"
 
+#include <arpa/inet.h>
 #include <boost/test/unit_test.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <chrono>
@@ -35,7 +39,7 @@
 /// A host's view: the request was under way at a server that then refused connections.
 void lose_server(crash_guard& guard, request_fingerprint content, int server, time_point now) {
     record_interruption(guard.attribution, {content, instance(server), now});
-    static_cast<void>(note_ended(guard, instance(server), end_evidence::refused_connection, now));
+    static_cast<void>(note_ended(guard, instance(server), end_evidence::unreachable, now));
 }
 
 /// Servers of `plain` that answer requests, but end when they begin to run one for `/safe/crash`.
@@ -130,6 +134,45 @@
     BOOST_TEST(test.front->take_losses().empty());
 }
 
+// Guards against a crash that takes the machine with it and does not count: the connection closes,
+// and the machine does not answer a new one.
+BOOST_AUTO_TEST_CASE(machine_that_stops_answering_is_a_loss) {
+    front_fixture test;
+    // A full queue of connections that nobody accepts: the system drops further ones.
+    const int queue = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    // NOLINTBEGIN(cppcoreguidelines-pro-type-reinterpret-cast): socket address types.
+    BOOST_REQUIRE(::bind(queue, reinterpret_cast<sockaddr*>(&address), size) == 0);
+    BOOST_REQUIRE(::listen(queue, 0) == 0);
+    BOOST_REQUIRE(::getsockname(queue, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+    std::vector<int> fillers;
+    const auto fill = [&] {
+        fillers.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+        static_cast<void>(
+            ::connect(fillers.back(), reinterpret_cast<sockaddr*>(&address), sizeof address));
+    };
+    // NOLINTEND(cppcoreguidelines-pro-type-reinterpret-cast)
+    test.add("s", "plain", {"127.0.0.1", ntohs(address.sin_port)});
+    test.loop.call_after(100ms, [&] {
+        const int accepted = ::accept(queue, nullptr, nullptr);
+        BOOST_REQUIRE(accepted >= 0);
+        fill();
+        fill();
+        ::close(accepted);
+    });
+    test.ask("GET", "/safe/x", "1000");
+    test.loop.call_after(700ms, [&test] { test.loop.stop(); });
+    test.loop.run();
+    BOOST_TEST(test.front->take_losses().size() == 1U);
+    for (const int filler : fillers) {
+        ::close(filler);
+    }
+    ::close(queue);
+}
+
 // Guards against requests that wait until their deadline for a server that has started again, and
 // against a crash that closes no connection and so never counts.
 BOOST_AUTO_TEST_CASE(requests_at_a_replaced_server_end_at_once) {
@@ -158,8 +201,7 @@
     for (int server = 0; server < 3; ++server) {
         record_interruption(guard.attribution,
                             {poison, instance(server), start, interruption::unanswered});
-        BOOST_TEST(
-            note_ended(guard, instance(server), end_evidence::refused_connection, start).empty());
+        BOOST_TEST(note_ended(guard, instance(server), end_evidence::unreachable, start).empty());
     }
     BOOST_TEST(may_repeat(guard, poison, start));
     BOOST_TEST(note_ended(guard, instance(0), end_evidence::replaced, start + 2s).size() == 1U);
@@ -176,8 +218,7 @@
     }
     const time_point later = start + 500ms;
     for (int server = 0; server < 6; ++server) {
-        BOOST_TEST(
-            note_ended(guard, instance(server), end_evidence::refused_connection, later).empty());
+        BOOST_TEST(note_ended(guard, instance(server), end_evidence::unreachable, later).empty());
     }
     // A process that was replaced has ended, whatever the network did.
     BOOST_TEST(note_ended(guard, instance(2), end_evidence::replaced, later).size() == 1U);
@@ -312,8 +353,7 @@
             return one.server == server;
         });
         for (crash_guard& guard : this->guards) {
-            static_cast<void>(
-                note_ended(guard, ended, end_evidence::refused_connection, this->now));
+            static_cast<void>(note_ended(guard, ended, end_evidence::unreachable, this->now));
         }
     }
 
@@ -331,8 +371,7 @@
         for (int server = 0; server < servers; ++server) {
             const ranges::server_instance life = instance(server, this->lives[server]);
             if (refused) {
-                static_cast<void>(
-                    note_ended(guard, life, end_evidence::refused_connection, this->now));
+                static_cast<void>(note_ended(guard, life, end_evidence::unreachable, this->now));
             } else {
                 dismiss(guard.attribution, life);
             }
