coordinator: make the answers to held reports one at a time

Cause: when the owners change, or hosts know none, all answers were made before the first was sent, each with its own copy of the owners that its host lacks, for a host without owners the whole table.

They are made and sent one at a time now.

--- a/libs/gateway/src/coordinator_reports.cpp
+++ b/libs/gateway/src/coordinator_reports.cpp
@@ -425,18 +425,15 @@
 /// @param all  answer all held reports
 void coordinator::state::answer_held_reports(bool all, time_point now) {
     std::vector<held_report> remaining;
-    std::vector<std::pair<answer_handler, report_answer>> answers;
+    std::vector<held_report> due;
     for (held_report& one : this->held_reports) {
         const bool waits = this->leading ? !this->is_outdated(one.report, now) : this->taking_over;
-        if (all || now >= one.until || !waits) {
-            answers.emplace_back(std::move(one.answer), this->make_answer(one.report, now));
-        } else {
-            remaining.push_back(std::move(one));
-        }
+        (all || now >= one.until || !waits ? due : remaining).push_back(std::move(one));
     }
     this->held_reports = std::move(remaining);
-    for (const auto& [handler, answer] : answers) {
-        handler(answer);
+    // One answer at a time: those to hosts that know no owners hold the whole table each.
+    for (const held_report& one : due) {
+        one.answer(this->make_answer(one.report, now));
     }
 }
 
