--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -34,8 +34,8 @@
     int gateways = 4;
     int servers = 6;
     int basic = 0;
-    int newer = 0;
-    int only_newer = 0;
+    int silence_and_crash = 0;
+    int nothing_else = 0;
 };
 
 constexpr milliseconds request_every{5};
@@ -63,8 +63,9 @@
 constexpr int crashing_request_repeats = 30;
 constexpr int nested_levels = 20'000;
 
-/// The newer faults have a sequence of their own, so that they do not change the others'.
-constexpr unsigned long newer_seed_offset = 1'000'003;
+/// Silences and crashing requests are drawn from a sequence of their own, so that they do not
+/// change the other faults of a seed.
+constexpr unsigned long silence_seed_offset = 1'000'003;
 
 /// Restored stores of one run.
 constexpr int most_restores = 2;
@@ -86,7 +87,7 @@
         : options(given),
           seed(given_seed),
           random(given_seed),
-          newer_random(given_seed + newer_seed_offset),
+          silence_random(given_seed + silence_seed_offset),
           directory(std::filesystem::temp_directory_path() /
                     ("greengagechute-soak-" + std::to_string(::getpid()) + "-" +
                      std::to_string(given_seed))) {
@@ -121,12 +122,12 @@
         const milliseconds faults = milliseconds(this->options.seconds * 1'000);
         this->loop.call_after(warm_up, [this] {
             this->ask();
-            if (this->options.only_newer == 0) {
+            if (this->options.nothing_else == 0) {
                 this->next_fault();
             }
-            if (this->options.newer != 0) {
+            if (this->options.silence_and_crash != 0) {
                 // Gateways whose connections go silent are not judged for a while, so that some
-                // seeds play only one of the newer faults.
+                // seeds play only one of the two.
                 const unsigned long share = this->seed % 3;
                 if (share != 2) {
                     this->silence_connections();
@@ -239,8 +240,8 @@
             });
     }
 
-    int draw_newer(int below) {
-        return static_cast<int>(this->newer_random() % static_cast<unsigned>(below));
+    int draw_silence(int below) {
+        return static_cast<int>(this->silence_random() % static_cast<unsigned>(below));
     }
 
     /// Open connections go silent for good, while new ones work: between gateways and the store, or
@@ -249,28 +250,28 @@
         if (this->healing) {
             return;
         }
-        this->loop.call_after(milliseconds(500 + this->draw_newer(5'000)),
+        this->loop.call_after(milliseconds(500 + this->draw_silence(5'000)),
                               [this] { this->silence_connections(); });
-        const int kind = this->draw_newer(3);
+        const int kind = this->draw_silence(3);
         this->note(kind == 0   ? "silent connections to the store"
                    : kind == 1 ? "silent connections to servers"
                                : "silent connections to the store and to servers");
         const time_point now = wire::event_loop::now();
         this->seen.disturbed(now);
         for (const auto& gateway : this->gateways) {
-            if (kind != 1 && this->draw_newer(4) != 0) {
+            if (kind != 1 && this->draw_silence(4) != 0) {
                 gateway->store_path().silence();
                 gateway->disturbed(now);
             }
         }
         for (const auto& server : this->servers) {
-            if (kind != 0 && this->draw_newer(4) != 0) {
+            if (kind != 0 && this->draw_silence(4) != 0) {
                 server->stop_judging_pauses();
                 server->path().silence();
             }
         }
-        if (this->draw_newer(2) == 0) {
-            this->loop.call_after(milliseconds(50 + this->draw_newer(400)), [this] {
+        if (this->draw_silence(2) == 0) {
+            this->loop.call_after(milliseconds(50 + this->draw_silence(400)), [this] {
                 if (!this->healing) {
                     this->note("configuration " + std::to_string(this->version + 1));
                     this->write_configuration();
@@ -284,15 +285,15 @@
         if (this->healing) {
             return;
         }
-        this->loop.call_after(milliseconds(6'000 + this->draw_newer(6'000)),
+        this->loop.call_after(milliseconds(6'000 + this->draw_silence(6'000)),
                               [this] { this->begin_crashing_request(); });
-        const int kind = this->draw_newer(3);
+        const int kind = this->draw_silence(3);
         const std::string target = std::string(kind == 0   ? "/plain"
                                                : kind == 1 ? "/read"
                                                            : "/credit") +
                                    "/crash-" + std::to_string(++this->crashing_requests_begun);
         this->note("requests for " + target + " end servers");
-        this->repeat_crashing_request(target, std::to_string(this->draw_newer(keys)),
+        this->repeat_crashing_request(target, std::to_string(this->draw_silence(keys)),
                                       crashing_request_repeats);
     }
 
@@ -778,7 +779,7 @@
             "seed %lu: %d requests, %zu refused, %d of %d served at the end, %zu faults: %s\n",
             this->seed, this->asked, this->refused.size(), this->served_in_end, this->asked_at_end,
             this->events.size(), good ? "kept" : "BROKEN");
-        if (this->options.newer != 0) {
+        if (this->options.silence_and_crash != 0) {
             std::printf("  crashing requests: %s\n", this->seen.crashes().summary().c_str());
         }
         if (good) {
@@ -804,7 +805,7 @@
     soak_options options;
     unsigned long seed;
     std::mt19937_64 random;
-    std::mt19937_64 newer_random;
+    std::mt19937_64 silence_random;
     std::filesystem::path directory;
     wire::event_loop loop;
     /// Holds the address of this seed, so that two runs do not mix.
@@ -850,10 +851,10 @@
         {"servers", 'n', POPT_ARG_INT, &options.servers, 0, "servers (6)", "N"},
         {"basic", 'b', POPT_ARG_NONE, &options.basic, 0,
          "no restored store, faulty answers or odd rows", nullptr},
-        {"newer", 'm', POPT_ARG_NONE, &options.newer, 0,
+        {"silence-and-crash", 'm', POPT_ARG_NONE, &options.silence_and_crash, 0,
          "also silent connections, and requests that end servers", nullptr},
-        {"only-newer", 'o', POPT_ARG_NONE, &options.only_newer, 0, "with --newer: no other faults",
-         nullptr},
+        {"nothing-else", 'o', POPT_ARG_NONE, &options.nothing_else, 0,
+         "with --silence-and-crash: no other faults", nullptr},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext("soak", argc, argv, table, 0);
     const int code = poptGetNextOpt(context);
