gateway: read the work time that servers state with their load

Cause: parse_load refused a load with a fourth figure, so on deployments whose servers state how long work takes on their machine, hosts placed and limited requests without any load, and the coordinator measured no service times and limited no hot key. Nothing told an operator.

Change: the fourth figure is read, further ones are ignored. A load that cannot be read is logged once for each start of a server and counted in greengagechute_unreadable_loads_total.

--- a/libs/gateway/include/gateway/balancer.h
+++ b/libs/gateway/include/gateway/balancer.h
@@ -11,16 +11,22 @@
 
 namespace greengagechute::gateway {
 
+inline constexpr int usual_work_time_percent = 100;
+
 /// Load that a server reports in its responses.
 struct reported_load {
     int running = 0;
     int waiting = 0;
     /// Number of requests that the server runs concurrently.
     int slots = 0;
+    /// Time that work takes on the server's machine at the moment, in percent of the usual. Changes
+    /// many times a second.
+    int work_time_percent = usual_work_time_percent;
 };
 
-/// Parses a load, "running,waiting,slots". Returns nullopt if it is malformed, without slots or out
-/// of range.
+/// Parses a load, "running,waiting,slots" or "running,waiting,slots,work time". Further fields are
+/// ignored. Returns nullopt if one of the first four is malformed or out of range, or without
+/// slots.
 std::optional<reported_load> parse_load(const std::string& text);
 
 /// Service times measured at one server. The sum of logarithms gives a geometric mean, which a few
@@ -67,6 +73,8 @@
     reported_load reported;
     time_point reported_at;
     bool has_reported = false;
+    /// A load that could not be read has been logged.
+    bool unreadable_load_logged = false;
     /// Moving average of the time from sending a request to its response; 0 if none was measured.
     double latency_ms = 0;
     /// Moving average of the fraction of requests that failed.
--- a/libs/gateway/src/balancer.cpp
+++ b/libs/gateway/src/balancer.cpp
@@ -26,26 +26,31 @@
 }  // namespace
 
 std::optional<reported_load> parse_load(const std::string& text) {
-    std::array<int, 3> fields{};
+    constexpr std::size_t required_fields = 3;
+    std::array<int, required_fields + 1> fields{0, 0, 0, usual_work_time_percent};
     const char* at = text.data();
     const char* const end = text.data() + text.size();
-    for (std::size_t index = 0; index < fields.size(); ++index) {
-        const auto [next, error] = std::from_chars(at, end, fields.at(index));
-        if (error != std::errc{} || fields.at(index) < 0 || fields.at(index) > max_reported_load) {
+    std::size_t count = 0;
+    while (count < fields.size()) {
+        int& field = fields.at(count);
+        const auto [next, error] = std::from_chars(at, end, field);
+        if (error != std::errc{} || field < 0 || field > max_reported_load) {
             return std::nullopt;
         }
         at = next;
-        if (index + 1 < fields.size()) {
-            if (at == end || *at != ',') {
-                return std::nullopt;
-            }
-            ++at;
+        ++count;
+        if (at == end) {
+            break;
         }
+        if (*at != ',') {
+            return std::nullopt;
+        }
+        ++at;
     }
-    if (at != end || fields[2] == 0) {
+    if (count < required_fields || fields[2] == 0 || fields[3] == 0) {
         return std::nullopt;
     }
-    return reported_load{fields[0], fields[1], fields[2]};
+    return reported_load{fields[0], fields[1], fields[2], fields[3]};
 }
 
 int concurrency_limit(const server_state& server, int hosts, const balancer_settings& settings,
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -58,6 +58,7 @@
                                {},
                                {},
                                {},
+                               {},
                                {}}) {
     const auto make = [&metrics](std::string_view name, std::string_view help) {
         const auto made = metrics.add_counter(name, help);
@@ -80,6 +81,8 @@
     impl.limited_count = make("greengagechute_limited_total",
                               "Requests refused because their key gets more than its server can "
                               "run.");
+    impl.unreadable_loads = make("greengagechute_unreadable_loads_total",
+                                 "Answers of servers whose load could not be read.");
     impl.quarantined_count = make("greengagechute_quarantined_total",
                                   "Requests refused because servers have ended under them.");
     impl.ended_under_requests = make("greengagechute_servers_ended_under_requests_total",
--- a/libs/gateway/src/front_answers.cpp
+++ b/libs/gateway/src/front_answers.cpp
@@ -45,6 +45,24 @@
     }
 }
 
+/// Records the load that a server states in an answer.
+void front::state::note_load(const active_request& active, service_pool& pool, server_state& server,
+                             const std::string& stated, time_point now) {
+    if (const auto load = parse_load(stated)) {
+        record_load(server, *load, now);
+        this->record_queue(active, pool, load->waiting);
+        return;
+    }
+    this->unreadable_loads.add();
+    if (!server.unreadable_load_logged) {
+        server.unreadable_load_logged = true;
+        constexpr std::size_t max_logged_bytes = 64;
+        telemetry::log_warning(this->log, "server_load_unreadable",
+                               {{"server", server.entry.life.id.value()},
+                                {"stated", stated.substr(0, max_logged_bytes)}});
+    }
+}
+
 /// Records the queue of a server that owns limited keys.
 void front::state::record_queue(const active_request& active, const service_pool& pool,
                                 int waiting) {
@@ -200,10 +218,7 @@
     if (server != nullptr) {
         if (const std::string* reported =
                 wire::find_header(outcome.message.headers, this->names.load)) {
-            if (const auto load = parse_load(*reported)) {
-                record_load(*server, *load, now);
-                this->record_queue(*active, pool, load->waiting);
-            }
+            this->note_load(*active, pool, *server, *reported, now);
         }
     }
     if (replaced && server != nullptr) {
--- a/libs/gateway/src/front_state.h
+++ b/libs/gateway/src/front_state.h
@@ -223,6 +223,7 @@
     telemetry::counter withheld_by_leaving;
     telemetry::counter withheld_by_pause;
     telemetry::counter limited_count;
+    telemetry::counter unreadable_loads;
     telemetry::counter quarantined_count;
     telemetry::counter ended_under_requests;
     telemetry::latency_histogram request_time;
@@ -272,6 +273,8 @@
     void check_server(const ranges::server_instance& server, const wire::endpoint& address);
     void on_server_ended(const ranges::server_instance& server, end_evidence evidence,
                          time_point now);
+    void note_load(const active_request& active, service_pool& pool, server_state& server,
+                   const std::string& stated, time_point now);
     void record_queue(const active_request& active, const service_pool& pool, int waiting);
     void keep_notices(const server_state& server, time_point now);
     void note_statement(const request_handle& active, const wire::response& message,
