--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -2,7 +2,7 @@
 
 # The layer of each library. A library may link only to lower layers, and to the same-layer libraries named in GG_SAME_LAYER_<name>.
 set(GG_LAYER_base 0)
-foreach(name IN ITEMS settings telemetry placement ownership ranges release membership admission)
+foreach(name IN ITEMS settings telemetry placement ownership ranges release membership admission dispatch)
   set(GG_LAYER_${name} 1)
 endforeach()
 foreach(name IN ITEMS http peer platform upstream wire)
@@ -12,6 +12,7 @@
 set(GG_LAYER_gateway 3)
 set(GG_LAYER_adapter 4)
 set(GG_SAME_LAYER_ownership placement)
+set(GG_SAME_LAYER_dispatch ranges)
 set(GG_SAME_LAYER_platform http)
 set(GG_SAME_LAYER_upstream http)
 
