--- a/libs/gateway/include/gateway/balancer.h
+++ b/libs/gateway/include/gateway/balancer.h
@@ -2,6 +2,7 @@
 
 #include "admission/request_share.h"
 #include "base/time.h"
+#include "dispatch/eligibility.h"
 #include "gateway/directory.h"
 #include "gateway/server_notices.h"
 
@@ -85,6 +86,10 @@
     /// Earliest time at which it may have begun to drain; the epoch if that is not known.
     time_point draining_since;
     server_notices notices;
+    /// Where it is, and what holds there.
+    dispatch::server_place place;
+    /// End of the time for which it has said that it is cold.
+    time_point cold_until;
 };
 
 /// Network distance of a server from this host.
--- a/libs/gateway/include/gateway/catalogue.h
+++ b/libs/gateway/include/gateway/catalogue.h
@@ -2,9 +2,12 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "dispatch/eligibility.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -37,6 +40,8 @@
     /// Number of times that one request may be sent to a server, including the first.
     int max_attempts = 1;
     std::vector<weighted_service> services;
+    /// Regions in which its requests may run; empty for all.
+    dispatch::region_list allowed_regions;
 };
 
 struct service {
@@ -45,6 +50,11 @@
     bool divided = false;
     /// Number of connections that one server accepts in total.
     std::size_t max_connections = 0;
+    /// Requests per second that a cold server takes from all hosts together; 0 if it takes any
+    /// number.
+    double cold_requests_per_s = 0;
+    /// Time for which a server is cold after a start.
+    milliseconds warmup{0};
 };
 
 /// Limits on what callers may send.
@@ -69,6 +79,10 @@
 /// Rebuilds `by_host`; required after `routes` has changed.
 void index_routes(catalogue& content);
 
+/// Regions in which the requests of all routes of a service may run; nullopt for all regions.
+std::optional<std::set<region_id>> common_regions(const catalogue& content,
+                                                  const service_id& service);
+
 /// Finds the route with the longest prefix of the target's path; nullptr if there is none.
 /// @param host  value of the Host header; a port is ignored
 const route* find_route(const catalogue& content, std::string_view host, std::string_view target);
--- a/libs/gateway/include/gateway/coordinator.h
+++ b/libs/gateway/include/gateway/coordinator.h
@@ -6,6 +6,7 @@
 #include "gateway/catalogue.h"
 #include "gateway/crash_guard.h"
 #include "gateway/directory.h"
+#include "gateway/evacuations.h"
 #include "gateway/key_limits.h"
 #include "gateway/store.h"
 #include "gateway/suspect_requests.h"
@@ -38,6 +39,8 @@
     /// Address at which the other hosts reach this one.
     wire::endpoint address;
     host_capacity capacity;
+    data_centre_id data_centre;
+    std::map<data_centre_id, region_id> regions;
     /// A host with at least this capacity takes over without delay. A new coordinator encodes the
     /// owners and sends them to each host, 4 MB in all at 87 hosts and 230 servers. With this
     /// capacity that takes a third of a second, less than the remaining lease time.
@@ -91,6 +94,11 @@
     host_id host;
     /// Address at which the other hosts reach this one; empty in reports of earlier releases.
     std::optional<wire::endpoint> address;
+    /// Empty in reports of earlier releases.
+    data_centre_id data_centre;
+    /// Store version of the newest evacuation, or withdrawal of one, that the host knows; its
+    /// number is 0 if it knows none.
+    store_version evacuations;
     /// Hash of the contacts that the host has; 0 if it has none.
     std::uint64_t contacts = 0;
     /// Positions of the requested keys, from which the coordinator estimates load.
@@ -133,6 +141,14 @@
     std::vector<ranges::range_owner> ranges;
 };
 
+/// Allowance of requests to a cold server that a host may use.
+struct lent_allowance {
+    ranges::server_instance server;
+    double requests_per_s = 0;
+    /// Counted from when the host sent the report.
+    milliseconds valid_for{0};
+};
+
 /// Answer to a `host_report`.
 struct report_answer {
     /// This host is the coordinator; without it, `term`, `owners` and `servers` are not set.
@@ -152,6 +168,10 @@
     /// Number of hosts that have reported lately, including this one.
     int hosts = 1;
     std::uint64_t term = 0;
+    /// All that the coordinator knows of evacuations; empty if the host knows as much.
+    std::vector<evacuation_change> evacuations;
+    /// Allowances of cold servers that this host holds.
+    std::vector<lent_allowance> loans;
     /// Some other hosts, which may know the next coordinator when this one is lost and the store
     /// does not answer. Empty if the host has these contacts.
     std::vector<wire::endpoint> contacts;
@@ -212,6 +232,11 @@
     std::function<void(milliseconds age)> term_confirmed;
     /// The store has stated an era above the known one.
     std::function<void(std::uint64_t)> store_era_changed;
+    /// A remote coordinator has told of evacuations.
+    std::function<void(const std::vector<evacuation_change>&)> evacuations_relayed;
+    /// This host holds allowances of cold servers.
+    /// @param from  time from which they are valid
+    std::function<void(const std::vector<lent_allowance>&, time_point from)> allowances_lent;
     /// The number of live hosts is known anew.
     std::function<void(int)> hosts_counted;
     /// Returns what this host has observed since the last call.
@@ -250,6 +275,8 @@
     /// To be called after each change of the directory.
     void on_directory_changed();
     void set_store_reachable(bool reachable);
+    /// Replaces what this host knows of evacuated data centres.
+    void set_evacuations(const evacuation_table& table);
     /// Sets the version of the newest configuration row that this host has read.
     void set_catalogue_version(const store_version& version);
     void set_confirmations(const store_confirmations& confirmed);
--- a/libs/gateway/include/gateway/directory.h
+++ b/libs/gateway/include/gateway/directory.h
@@ -100,6 +100,9 @@
     bool awaits_reregistration(const server_id& id) const {
         return this->awaiting_reregistration.contains(id);
     }
+    /// End of the time for which the server has said that it is cold, counted from the arrival of
+    /// its entry; the epoch if it has never said so.
+    time_point cold_until(const server_id& id) const;
     /// nullptr if there is none.
     const server_entry* find(const server_id& id) const;
     const std::map<server_id, server_entry>& servers() const { return this->entries; }
@@ -121,6 +124,8 @@
         time_point usable_at;
     };
 
+    bool is_cold_anew(const server_change& change, time_point now) const;
+    void note_warmup(const server_id& id, milliseconds left, time_point now);
     void apply_one(const server_change& change, time_point now);
     bool is_older_copy(const server_change& change) const;
     /// Records a change that is newer than the last known one of the same server.
@@ -130,6 +135,7 @@
 
     directory_settings settings;
     std::map<server_id, server_entry> entries;
+    std::map<server_id, time_point> cold_servers;
     /// Entries that lapsed, and when they expire.
     std::map<server_id, time_point> awaiting_reregistration;
     /// Store version of the last change of each server, including removed ones.
--- a/libs/gateway/include/gateway/errors.h
+++ b/libs/gateway/include/gateway/errors.h
@@ -28,6 +28,8 @@
     servers_paused = 1516,
     key_limited = 1517,
     server_replaced = 1518,
+    region_not_allowed = 1519,
+    data_centre_evacuated = 1520,
 };
 
 /// Returns all error codes of the gateway library with their names and messages.
--- a/libs/gateway/include/gateway/front.h
+++ b/libs/gateway/include/gateway/front.h
@@ -6,6 +6,7 @@
 #include "gateway/catalogue.h"
 #include "gateway/crash_guard.h"
 #include "gateway/directory.h"
+#include "gateway/evacuations.h"
 #include "gateway/key_limits.h"
 #include "gateway/suspect_requests.h"
 #include "ranges/range_table.h"
@@ -56,6 +57,13 @@
     milliseconds window{10'000};
 };
 
+/// Allowance of requests to a cold server, lent to this host.
+struct allowance_loan {
+    ranges::server_instance server;
+    double requests_per_s = 0;
+    time_point until;
+};
+
 struct front_settings {
     balancer_settings balancer;
     retry_budget_settings retries;
@@ -93,6 +101,10 @@
     /// Replaces the limits of hot keys of all services. They hold for `max_limit_age` unless they
     /// are set again.
     void set_limits(const limits_update& update, time_point now);
+    /// Replaces what is known of evacuated data centres.
+    void set_evacuations(const evacuation_table& table, time_point now);
+    /// Lends allowances of cold servers to this host, or extends the loans that it has.
+    void add_loans(const std::vector<allowance_loan>& loans, time_point now);
     /// Sets the number of hosts that share the servers and the retry budget; at least 1 is used.
     void set_host_count(int hosts);
 
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -45,6 +45,9 @@
 struct row_format {
     std::string catalogue_table;
     std::string catalogue_row;
+    /// Rows of the catalogue's table with this prefix name data centres to which the operator wants
+    /// nothing sent while they are there. Empty if there are none.
+    std::string evacuation_prefix;
     std::string server_table;
     /// Returns nullopt if the text is not a valid configuration, and describes the error in
     /// `reason`.
--- a/libs/gateway/src/balancer.cpp
+++ b/libs/gateway/src/balancer.cpp
@@ -79,7 +79,7 @@
         network = 2 * settings.cross_region_latency_ms;
     }
     double service = server.latency_ms > 0 ? server.latency_ms : settings.initial_latency_ms;
-    if (now < server.first_seen + server.entry.warmup_left) {
+    if (now < server.first_seen + server.entry.warmup_left || now < server.place.cold_until) {
         service *= cold_factor;
     }
     double outstanding = server.in_flight;
--- a/libs/gateway/src/catalogue.cpp
+++ b/libs/gateway/src/catalogue.cpp
@@ -29,6 +29,20 @@
     }
 }
 
+std::optional<std::set<region_id>> common_regions(const catalogue& content,
+                                                  const service_id& service) {
+    std::vector<dispatch::region_list> allowed;
+    for (const route& entry : content.routes) {
+        const bool uses =
+            std::any_of(entry.services.begin(), entry.services.end(),
+                        [&service](const auto& part) { return part.service == service; });
+        if (uses) {
+            allowed.push_back(entry.allowed_regions);
+        }
+    }
+    return dispatch::common_regions(allowed);
+}
+
 const route* find_route(const catalogue& content, std::string_view host, std::string_view target) {
     const auto routes = content.by_host.find(host_name(host));
     if (routes == content.by_host.end()) {
--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -327,6 +327,9 @@
     this->managed.clear();
     this->reports.clear();
     this->host_addresses.clear();
+    this->host_places.clear();
+    this->cold_servers.clear();
+    this->loans = dispatch::make_loan_book(this->settings.isolation_timeout, now);
     this->term_from_host = false;
     this->last_tick = now;
     this->last_balance = now;
@@ -404,6 +407,7 @@
                 this->update_leases(id, now);
             }
         }
+        this->lend_allowances(now);
         this->apply_report(this->handlers.collect_report(), now);
         if (now - this->last_limits >= this->settings.limit_interval) {
             this->last_limits = now;
@@ -424,6 +428,9 @@
             std::erase_if(this->host_addresses, [this](const auto& entry) {
                 return !this->reports.contains(entry.first);
             });
+            std::erase_if(this->host_places, [this](const auto& entry) {
+                return !this->reports.contains(entry.first);
+            });
             expire(this->suspects, now);
             this->store_quarantine(now);
             std::erase_if(this->leaving, [now](const auto& entry) {
@@ -542,6 +549,10 @@
     this->implementation->store_reachable = reachable;
 }
 
+void coordinator::set_evacuations(const evacuation_table& table) {
+    this->implementation->evacuations = table;
+}
+
 void coordinator::set_catalogue_version(const store_version& version) {
     this->implementation->catalogue_version = version;
 }
--- a/libs/gateway/src/coordinator_leases.cpp
+++ b/libs/gateway/src/coordinator_leases.cpp
@@ -1,5 +1,6 @@
 #include "admission/request_share.h"
 #include "coordinator_state.h"
+#include "dispatch/owner_selection.h"
 #include "ranges/ownership_gap.h"
 
 #include <algorithm>
@@ -238,14 +239,26 @@
     }
     const std::optional<double> mean = mean_log_ms(own);
     std::vector<ranges::candidate> candidates;
+    std::vector<dispatch::owner_facts> facts;
     for (const auto& [id, entry] : this->servers.servers()) {
         if (entry.service == service) {
-            const bool stays = !entry.draining && !this->ended.contains(entry.life) &&
-                               !this->leaving.contains(entry.life);
             const bool registered = !this->servers.awaits_reregistration(id);
-            candidates.push_back({entry.life, weight_of(own, mean, entry), stays, registered});
+            candidates.push_back({entry.life, weight_of(own, mean, entry), true, registered});
+            dispatch::owner_facts server;
+            server.weight = candidates.back().weight;
+            server.region = this->region_of(entry.data_centre);
+            server.leaving = entry.draining || this->ended.contains(entry.life) ||
+                             this->leaving.contains(entry.life);
+            server.evacuated = evacuated_since(this->evacuations, entry.data_centre).has_value();
+            server.cold = now < this->cold_until(entry);
+            facts.push_back(std::move(server));
         }
     }
+    const std::vector<bool> selected =
+        dispatch::select_owners(facts, common_regions(*this->config, service));
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        candidates[index].accepts = selected[index];
+    }
     own.keeper.set_candidates(candidates, now);
     own.keeper.set_store_unavailable(!this->store_ok || !this->store_reachable ||
                                      this->needs_reassertion);
--- a/libs/gateway/src/coordinator_reports.cpp
+++ b/libs/gateway/src/coordinator_reports.cpp
@@ -61,6 +61,8 @@
     host_report content = this->handlers.collect_report();
     content.host = this->settings.host;
     content.address = this->settings.address;
+    content.data_centre = this->settings.data_centre;
+    content.evacuations = this->evacuations.version;
     content.contacts = hash_of(this->contacts);
     content.term = this->known_term;
     content.at_once = this->missed_reports > 0;
@@ -78,7 +80,7 @@
         content.at_once ? this->settings.probe_timeout : this->settings.report_timeout;
     options.connect_timeout = options.timeout;
     this->peers.send(*this->term->address, message, options,
-                     [this, number = this->term->number,
+                     [this, number = this->term->number, asked_at = wire::event_loop::now(),
                       losses = std::move(content.losses)](const wire::call_result& outcome) {
                          report_answer answer;
                          const bool answered = !outcome.error && outcome.message.code == http_ok &&
@@ -107,7 +109,7 @@
                              return;
                          }
                          this->pending_since.reset();
-                         this->on_answer(answer);
+                         this->on_answer(answer, asked_at);
                      });
 }
 
@@ -123,17 +125,24 @@
     this->on_coordinator_lost("not coordinating");
 }
 
-void coordinator::state::on_answer(const report_answer& answer) {
+/// @param asked_at  when the report was sent
+void coordinator::state::on_answer(const report_answer& answer, time_point asked_at) {
     this->handlers.hosts_counted(answer.hosts);
     const time_point now = wire::event_loop::now();
     if (answer.term != this->known_term) {
         this->known_term = answer.term;
         this->known_versions.clear();
     }
+    if (!answer.evacuations.empty()) {
+        this->handlers.evacuations_relayed(answer.evacuations);
+    }
     if (answer.servers) {
         // Apply servers before owners, which may refer to new servers.
         this->handlers.servers_relayed(*answer.servers);
     }
+    if (!answer.loans.empty()) {
+        this->handlers.allowances_lent(answer.loans, asked_at);
+    }
     for (const auto& [service, update] : answer.owners) {
         ranges::range_table& known = this->known_owners[service];
         if (update.whole) {
@@ -332,6 +341,10 @@
             answer.limits = std::move(limits);
         }
     }
+    if (report.evacuations < this->evacuations.version) {
+        answer.evacuations = all_changes(this->evacuations);
+    }
+    answer.loans = this->allowances_of(report.host, now);
     std::vector<wire::endpoint> known_hosts = this->contacts_for(report.host);
     if (report.contacts != hash_of(known_hosts)) {
         answer.contacts = std::move(known_hosts);
@@ -405,7 +418,8 @@
     if (report.servers < this->announced_version && this->can_relay_directory(report, now)) {
         return true;
     }
-    if (has_news(this->suspects, report.suspects)) {
+    if (has_news(this->suspects, report.suspects) ||
+        report.evacuations < this->evacuations.version) {
         return true;
     }
     if ((this->has_limits() || report.limits != 0) && this->knows_limits(now) &&
@@ -449,6 +463,9 @@
                 own.host_addresses.insert(place, {report.host, *report.address});
             }
         }
+        if (!report.data_centre.value().empty()) {
+            own.host_places[report.host] = report.data_centre;
+        }
         own.apply_report(report, now);
     }
     own.held_reports.push_back(
--- a/libs/gateway/src/coordinator_state.h
+++ b/libs/gateway/src/coordinator_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/cold_allowance.h"
 #include "gateway/coordinator.h"
 #include "ranges/ownership_gap.h"
 #include "term_content.h"
@@ -118,6 +119,10 @@
     /// Time of the last report of each host, and the hosts' addresses.
     std::map<host_id, time_point> reports{};
     host_list host_addresses{};
+    std::map<host_id, data_centre_id> host_places{};
+    evacuation_table evacuations{};
+    std::vector<dispatch::cold_server> cold_servers{};
+    dispatch::loan_book loans{};
     /// Hosts to ask for the coordinator if neither it nor the store answers.
     std::vector<wire::endpoint> contacts{};
     bool asking_contacts = false;
@@ -193,7 +198,7 @@
     void read_rows(call_connection connection, const std::function<void(bool)>& done);
     void report();
     void schedule_report(milliseconds pause);
-    void on_answer(const report_answer& answer);
+    void on_answer(const report_answer& answer, time_point asked_at);
     void on_not_coordinating(bool pending, time_point now);
     report_answer make_answer(const host_report& report, time_point now) const;
     bool has_inherited_owners(const host_report& report, const service_id& service) const;
@@ -219,6 +224,10 @@
     bool has_limits() const;
     int live_hosts(time_point now) const;
     limits_update current_limits() const;
+    region_id region_of(const data_centre_id& data_centre) const;
+    time_point cold_until(const server_entry& entry) const;
+    void lend_allowances(time_point now);
+    std::vector<lent_allowance> allowances_of(const host_id& host, time_point now) const;
     void adopt_owners(const service_id& service, managed_service& own, time_point now);
     void update_leases(const service_id& service, time_point now);
     void apply_report(const host_report& report, time_point now);
--- a/libs/gateway/src/directory.cpp
+++ b/libs/gateway/src/directory.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+/// Stated warm-up times count from the arrival of their entries, which may take this much longer
+/// for one entry than for another.
+constexpr milliseconds max_arrival_difference{500};
+
 /// Whether two entries of a server are equal apart from the remaining warm-up time, which counts
 /// from the first of them.
 bool same_registration(const server_entry& known, const server_entry& next) {
@@ -33,6 +37,7 @@
         return;
     }
     this->entries.erase(id);
+    this->cold_servers.erase(id);
     this->awaiting_reregistration.erase(id);
 }
 
@@ -63,12 +68,32 @@
     }
     const server_entry* const known = this->find(change.id);
     if (change.entry && known != nullptr && same_registration(*known, *change.entry) &&
-        !this->awaiting_reregistration.contains(change.id)) {
+        !this->awaiting_reregistration.contains(change.id) && !this->is_cold_anew(change, now)) {
         return;
     }
     this->accept(change, now);
 }
 
+/// Whether the server says that it will be cold for longer than it was known to be: it has become
+/// cold again.
+bool directory::is_cold_anew(const server_change& change, time_point now) const {
+    return now + change.entry->warmup_left > this->cold_until(change.id) + max_arrival_difference &&
+           change.entry->warmup_left > milliseconds{0};
+}
+
+void directory::note_warmup(const server_id& id, milliseconds left, time_point now) {
+    if (left > milliseconds{0}) {
+        this->cold_servers[id] = now + left;
+    } else {
+        this->cold_servers.erase(id);
+    }
+}
+
+time_point directory::cold_until(const server_id& id) const {
+    const auto found = this->cold_servers.find(id);
+    return found == this->cold_servers.end() ? time_point{} : found->second;
+}
+
 void directory::accept(const server_change& change, time_point now) {
     store_version& changed = this->last_changed_version[change.id];
     // At most one removal per server is kept, also if it is repeated or the server comes back.
@@ -87,6 +112,7 @@
         known.sequence = change.entry->sequence;
         known.draining = change.entry->draining;
         this->entries[change.id] = *change.entry;
+        this->note_warmup(change.id, change.entry->warmup_left, now);
         this->awaiting_reregistration.erase(change.id);
     } else {
         this->remove(change.id, now);
@@ -173,6 +199,7 @@
          entry != this->awaiting_reregistration.end();) {
         if (entry->second <= now) {
             this->entries.erase(entry->first);
+            this->cold_servers.erase(entry->first);
             entry = this->awaiting_reregistration.erase(entry);
             expired = true;
         } else {
--- a/libs/gateway/src/errors.cpp
+++ b/libs/gateway/src/errors.cpp
@@ -27,6 +27,9 @@
     error_entry{1516, "servers_paused", "the servers have asked for a pause that ends too late"},
     error_entry{1517, "key_limited", "the key gets more requests than its server can run"},
     error_entry{1518, "server_replaced", "the server ended while it ran the request"},
+    error_entry{1519, "region_not_allowed", "no server is in a region where the request may run"},
+    error_entry{1520, "data_centre_evacuated",
+                "all servers that may run the request are in evacuated data centres"},
 };
 
 }  // namespace
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -44,6 +44,8 @@
                                make_crash_guard(settings.quarantine),
                                {},
                                {},
+                               {},
+                               {},
                                1,
                                std::nullopt,
                                {},
@@ -59,6 +61,9 @@
                                {},
                                {},
                                {},
+                               {},
+                               {},
+                               {},
                                {}}) {
     const auto make = [&metrics](std::string_view name, std::string_view help) {
         const auto made = metrics.add_counter(name, help);
@@ -81,6 +86,15 @@
     impl.limited_count = make("greengagechute_limited_total",
                               "Requests refused because their key gets more than its server can "
                               "run.");
+    impl.refused_by_region = make("greengagechute_refused_region_total",
+                                  "Requests refused because no server is in a region where they "
+                                  "may run.");
+    impl.refused_by_evacuation = make("greengagechute_refused_evacuated_total",
+                                      "Requests refused because all servers that may run them "
+                                      "are in evacuated data centres.");
+    impl.withheld_by_warmup = make("greengagechute_withheld_cold_total",
+                                   "Requests that were not sent because the owner of their key "
+                                   "is cold.");
     impl.unreadable_loads = make("greengagechute_unreadable_loads_total",
                                  "Answers of servers whose load could not be read.");
     impl.quarantined_count = make("greengagechute_quarantined_total",
@@ -97,7 +111,52 @@
 front::~front() = default;
 
 void front::set_catalogue(std::shared_ptr<const catalogue> content) {
-    this->implementation->config = std::move(content);
+    state& impl = *this->implementation;
+    impl.config = std::move(content);
+    for (auto& [id, pool] : impl.services) {
+        impl.update_places(id, pool, nullptr);
+    }
+}
+
+/// Updates what holds for the servers of a service because of where they are.
+/// @param known  the servers, if they may have stated how long they stay cold
+void front::state::update_places(const service_id& id, service_pool& pool, const directory* known) {
+    const service* configured = nullptr;
+    if (this->config) {
+        const auto found = this->config->services.find(id);
+        configured = found == this->config->services.end() ? nullptr : &found->second;
+    }
+    const bool has_allowance = configured != nullptr && configured->cold_requests_per_s > 0;
+    for (auto& [server_name, server] : pool.servers) {
+        if (known != nullptr) {
+            server.cold_until = known->cold_until(server_name);
+        }
+        const data_centre_id& data_centre = server.entry.data_centre;
+        const auto region = this->settings.regions.find(data_centre);
+        server.place.region = region != this->settings.regions.end() ? region->second : region_id();
+        server.place.evacuated_since = evacuated_since(this->evacuations, data_centre);
+        server.place.cold_until = has_allowance ? cold_until(this->evacuations, data_centre,
+                                                             server.cold_until, configured->warmup)
+                                                : time_point{};
+    }
+}
+
+void front::set_evacuations(const evacuation_table& table, time_point now) {
+    state& impl = *this->implementation;
+    impl.evacuations = table;
+    for (auto& [id, pool] : impl.services) {
+        impl.update_places(id, pool, nullptr);
+        impl.schedule_dispatch(id, milliseconds{0});
+    }
+    std::erase_if(impl.loans, [now](const auto& loan) { return loan.second.until <= now; });
+}
+
+void front::add_loans(const std::vector<allowance_loan>& added, time_point now) {
+    state& impl = *this->implementation;
+    std::erase_if(impl.loans, [now](const auto& loan) { return loan.second.until <= now; });
+    for (const allowance_loan& loan : added) {
+        dispatch::extend(impl.loans[loan.server], loan.requests_per_s, loan.until, now);
+    }
 }
 
 void front::set_host_count(int count) {
@@ -158,6 +217,7 @@
         impl.end_attempts_at(ended, now);
     }
     for (auto& [id, service] : impl.services) {
+        impl.update_places(id, service, &servers);
         impl.schedule_dispatch(id, milliseconds{0});
     }
 }
@@ -385,6 +445,9 @@
         this->refuse(active, gateway_errc::no_owner, now);
         return;
     }
+    if (this->refuse_if_barred(active, pool, now)) {
+        return;
+    }
     if (this->refuse_if_paused(active, pool, now)) {
         return;
     }
--- a/libs/gateway/src/front_dispatch.cpp
+++ b/libs/gateway/src/front_dispatch.cpp
@@ -52,6 +52,20 @@
         (server.entry.draining && now > server.draining_since + max_draining_owner_use)) {
         return {nullptr, "owner_left"};
     }
+    switch (dispatch::check_owner(server.place, active.matched_route->allowed_regions,
+                                  max_draining_owner_use, now)) {
+        case dispatch::verdict::region_not_allowed:
+            return {nullptr, "region_not_allowed"};
+        case dispatch::verdict::evacuated:
+            return {nullptr, "owner_evacuated"};
+        case dispatch::verdict::cold:
+            if (!this->has_loan(server, now)) {
+                return {nullptr, "owner_cold"};
+            }
+            break;
+        case dispatch::verdict::eligible:
+            break;
+    }
     if (is_pause_asked(server.notices, now)) {
         return {nullptr, "owner_asked_pause"};
     }
@@ -76,13 +90,21 @@
         return this->choose_owner(active, pool, now);
     }
     const balancer_settings& rules = this->settings.balancer;
+    const dispatch::region_list& allowed = active.matched_route->allowed_regions;
     server_state* best = nullptr;
     double best_ms = 0;
+    bool withheld_cold = false;
     for (auto& [id, server] : pool.servers) {
         if (!is_available(server, now) || active.tried_servers.contains(id) ||
             server.in_flight >= concurrency_limit(server, this->hosts, rules, now)) {
             continue;
         }
+        const dispatch::verdict found = dispatch::check(server.place, allowed, now);
+        const bool lent = found == dispatch::verdict::cold && this->has_loan(server, now);
+        if (found != dispatch::verdict::eligible && !lent) {
+            withheld_cold = withheld_cold || found == dispatch::verdict::cold;
+            continue;
+        }
         const double ms = placement_cost(server, this->distance_to(server.entry),
                                          active.matched_route->target_latency, rules, now) +
                           this->random_unit() +  // Jitter spreads requests over equal servers.
@@ -92,7 +114,63 @@
             best_ms = ms;
         }
     }
-    return {best, best == nullptr ? "no_server_free" : std::string_view()};
+    if (best != nullptr) {
+        return {best, {}};
+    }
+    return {nullptr, withheld_cold ? "servers_cold" : "no_server_free"};
+}
+
+/// Whether this host holds the allowance of a cold server, and may send a request out of it now.
+bool front::state::has_loan(const server_state& server, time_point now) const {
+    const auto loan = this->loans.find(server.entry.life);
+    return loan != this->loans.end() && dispatch::has_credit(loan->second, now);
+}
+
+/// Why no server may run the request, whatever its load; empty if one may, if none is known, or if
+/// the key is about to move to one.
+std::optional<gateway_errc> front::state::barred_by(const active_request& active,
+                                                    const service_pool& pool,
+                                                    time_point now) const {
+    const dispatch::region_list& allowed = active.matched_route->allowed_regions;
+    bool evacuated = false;
+    bool barred = false;
+    if (active.divided) {
+        const ranges::server_instance* const owner = owner_of(pool.owners, active.key);
+        const auto found = owner == nullptr ? pool.servers.end() : pool.servers.find(owner->id);
+        if (found != pool.servers.end() &&
+            !dispatch::is_allowed(allowed, found->second.place.region)) {
+            return gateway_errc::region_not_allowed;
+        }
+    }
+    for (const auto& [id, server] : pool.servers) {
+        if (server.entry.draining || server.replaced || server.notices.leaving_since) {
+            continue;
+        }
+        const dispatch::verdict found = dispatch::check(server.place, allowed, now);
+        if (found == dispatch::verdict::eligible || found == dispatch::verdict::cold) {
+            return std::nullopt;
+        }
+        evacuated = evacuated || found == dispatch::verdict::evacuated;
+        barred = true;
+    }
+    if (!barred) {
+        return std::nullopt;
+    }
+    return evacuated ? gateway_errc::data_centre_evacuated : gateway_errc::region_not_allowed;
+}
+
+/// Refuses the request if no server may run it, whatever its load. Returns whether it was refused.
+bool front::state::refuse_if_barred(const request_handle& active, const service_pool& pool,
+                                    time_point now) {
+    const auto reason = this->barred_by(*active, pool, now);
+    if (!reason) {
+        return false;
+    }
+    (*reason == gateway_errc::region_not_allowed ? this->refused_by_region
+                                                 : this->refused_by_evacuation)
+        .add();
+    this->refuse(active, *reason, now);
+    return true;
 }
 
 bool front::state::try_send(const request_handle& active, service_pool& pool, time_point now) {
@@ -156,7 +234,9 @@
             ahead += other->matched_route->priority <= active.matched_route->priority ? 1 : 0;
         }
         for (const auto& [id, server] : pool.servers) {
-            if (is_available(server, now)) {
+            if (is_available(server, now) &&
+                dispatch::check(server.place, active.matched_route->allowed_regions, now) ==
+                    dispatch::verdict::eligible) {
                 rate += concurrency_limit(server, this->hosts, this->settings.balancer, now);
             }
         }
@@ -239,6 +319,12 @@
         if (server.entry.draining || server.replaced || server.notices.leaving_since) {
             continue;
         }
+        const dispatch::verdict found =
+            dispatch::check(server.place, active.matched_route->allowed_regions, now);
+        if (found == dispatch::verdict::region_not_allowed ||
+            found == dispatch::verdict::evacuated) {
+            continue;
+        }
         if (!is_pause_asked(server.notices, now)) {
             return std::nullopt;
         }
@@ -262,6 +348,9 @@
         !accepts_owned_work(found->second.notices, max_draining_owner_use, now)) {
         this->withheld_by_leaving.add();
     }
+    if (found != pool.servers.end() && now < found->second.place.cold_until) {
+        this->withheld_by_warmup.add();
+    }
 }
 
 /// Refuses the request if all servers that may run it have asked for pauses that end too late for
@@ -333,6 +422,11 @@
             next_probe_at = now + moved_probe_interval;
         }
     }
+    if (now < server.place.cold_until) {
+        if (const auto loan = this->loans.find(server.entry.life); loan != this->loans.end()) {
+            dispatch::take(loan->second, now);
+        }
+    }
     ++active->attempts;
     this->log_sent(active, pool, server, left, now);
     active->in_flight = true;
@@ -463,7 +557,8 @@
             this->refuse(active, gateway_errc::no_owner, now);
             continue;
         }
-        if (this->refuse_if_paused(active, pool, now)) {
+        if (this->refuse_if_barred(active, pool, now) ||
+            this->refuse_if_paused(active, pool, now)) {
             next = pool.waiting.erase(next);
             continue;
         }
--- a/libs/gateway/src/front_state.h
+++ b/libs/gateway/src/front_state.h
@@ -2,6 +2,7 @@
 
 #include "admission/request_share.h"
 #include "admission/retry_budget.h"
+#include "dispatch/cold_allowance.h"
 #include "gateway/errors.h"
 #include "gateway/front.h"
 #include "gateway/request_fingerprint.h"
@@ -210,6 +211,9 @@
     /// Notices of server instances that are not registered at the moment, and when they were
     /// removed. Their entries may come back, also from an older copy of the store.
     std::map<ranges::server_instance, std::pair<server_notices, time_point>> former_notices;
+    evacuation_table evacuations;
+    /// Allowances of cold servers that this host holds.
+    std::map<ranges::server_instance, dispatch::held_loan> loans;
     int hosts = 1;
     /// Time at which open requests will be aborted; empty unless this process ends.
     std::optional<time_point> ends_at;
@@ -224,6 +228,9 @@
     telemetry::counter withheld_by_pause;
     telemetry::counter limited_count;
     telemetry::counter unreadable_loads;
+    telemetry::counter refused_by_region;
+    telemetry::counter refused_by_evacuation;
+    telemetry::counter withheld_by_warmup;
     telemetry::counter quarantined_count;
     telemetry::counter ended_under_requests;
     telemetry::latency_histogram request_time;
@@ -255,6 +262,11 @@
                    : distance::other_region;
     }
 
+    void update_places(const service_id& id, service_pool& pool, const directory* known);
+    bool has_loan(const server_state& server, time_point now) const;
+    std::optional<gateway_errc> barred_by(const active_request& active, const service_pool& pool,
+                                          time_point now) const;
+    bool refuse_if_barred(const request_handle& active, const service_pool& pool, time_point now);
     wire::response make_failure(const active_request& active, int status);
     void accept(const std::shared_ptr<wire::incoming>& request);
     void start(const request_handle& active);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -95,6 +95,7 @@
     wire::client upstreams;
     wire::client peers;
     directory servers;
+    evacuation_table evacuations;
     front frontend;
     coordinator ownership;
     table_watch catalogue_watch;
@@ -208,6 +209,18 @@
         handlers.losses_unreported = [this](const std::vector<request_loss>& losses) {
             this->frontend.return_losses(losses);
         };
+        handlers.evacuations_relayed = [this](const std::vector<evacuation_change>& changes) {
+            const time_point now = wire::event_loop::now();
+            this->evacuations_changed(apply(this->evacuations, changes, now), "coordinator", now);
+        };
+        handlers.allowances_lent = [this](const std::vector<lent_allowance>& lent,
+                                          time_point from) {
+            std::vector<allowance_loan> loans;
+            for (const lent_allowance& loan : lent) {
+                loans.push_back({loan.server, loan.requests_per_s, from + loan.valid_for});
+            }
+            this->frontend.add_loans(loans, wire::event_loop::now());
+        };
         handlers.hosts_counted = [this](int hosts) {
             this->host_count = hosts;
             this->frontend.set_host_count(hosts);
@@ -260,6 +273,8 @@
         made.host = host_settings.host;
         made.address = host_settings.peers;
         made.capacity = host_settings.capacity;
+        made.data_centre = host_settings.data_centre;
+        made.regions = host_settings.regions;
         made.keeper.lease_duration =
             std::min(made.keeper.lease_duration, host_settings.max_lease_duration);
         made.keeper.outage_lease_duration =
@@ -284,6 +299,44 @@
                 this->apply_catalogue_row(row, "store", update.waited);
             }
         }
+        this->apply_evacuation_rows(update);
+    }
+
+    void apply_evacuation_rows(const table_update& update) {
+        const std::string& prefix = this->format.evacuation_prefix;
+        if (prefix.empty()) {
+            return;
+        }
+        std::vector<evacuation_change> changes;
+        for (const stored_row& row : update.content.rows) {
+            if (row.key.starts_with(prefix) && row.key.size() > prefix.size()) {
+                changes.push_back({data_centre_id(row.key.substr(prefix.size())), !row.removed,
+                                   row.version.number != 0 ? row.version : update.content.version});
+            }
+        }
+        const time_point now = wire::event_loop::now();
+        this->evacuations_changed(
+            update.whole ? replace(this->evacuations, changes, update.content.version, now)
+                         : apply(this->evacuations, changes, now),
+            "store", now);
+    }
+
+    /// @param source  who told it, for the log
+    void evacuations_changed(const std::vector<data_centre_id>& changed, std::string_view source,
+                             time_point now) {
+        // Also without a change: the version may be newer.
+        this->ownership.set_evacuations(this->evacuations);
+        if (changed.empty()) {
+            return;
+        }
+        for (const data_centre_id& data_centre : changed) {
+            const bool evacuated = this->evacuations.data_centres.at(data_centre).evacuated;
+            telemetry::log_info(this->log, "evacuation_changed",
+                                {{"data_centre", data_centre.value()},
+                                 {"evacuated", evacuated},
+                                 {"source", source}});
+        }
+        this->frontend.set_evacuations(this->evacuations, now);
     }
 
     /// @param source  who told it, for the log
--- a/libs/gateway/src/reports.cpp
+++ b/libs/gateway/src/reports.cpp
@@ -21,6 +21,11 @@
 constexpr std::int64_t max_samples = 1'000'000;
 /// Highest number of losses of one request that is believed.
 constexpr std::int64_t max_losses = 1'000;
+/// Rates are sent in thousandths of a request per second, as integers.
+constexpr double rate_scale = 1'000;
+/// Longest loan that is believed.
+constexpr milliseconds max_loan = std::chrono::seconds{5};
+constexpr std::int64_t max_rate = 1'000'000'000;
 /// Number of fields of an encoded change: removal of a server, and registration.
 constexpr std::size_t removal_fields = 2;
 constexpr std::size_t entry_fields = 10;
@@ -226,6 +231,39 @@
     return decode_fingerprints(parsed, "cleared", update.cleared);
 }
 
+bool decode_evacuations(const nlohmann::json& parsed, std::vector<evacuation_change>& changes) {
+    if (!parsed.is_array()) {
+        return false;
+    }
+    for (const nlohmann::json& row : parsed) {
+        if (!row.is_array() || row.size() != 4 || !row[0].is_string() || !row[1].is_boolean() ||
+            !row[2].is_number_unsigned() || !row[3].is_number_unsigned()) {
+            return false;
+        }
+        changes.push_back({data_centre_id(row[0].get<std::string>()),
+                           row[1].get<bool>(),
+                           {row[2].get<std::uint64_t>(), row[3].get<std::uint64_t>()}});
+    }
+    return true;
+}
+
+bool decode_loans(const nlohmann::json& parsed, std::vector<lent_allowance>& loans) {
+    if (!parsed.is_array()) {
+        return false;
+    }
+    for (const nlohmann::json& row : parsed) {
+        if (!row.is_array() || row.size() != 4 || !row[0].is_string() ||
+            !row[1].is_number_unsigned() || !row[2].is_number_unsigned() ||
+            !row[3].is_number_unsigned()) {
+            return false;
+        }
+        loans.push_back({{server_id(row[0].get<std::string>()), row[1].get<std::uint64_t>()},
+                         static_cast<double>(bounded(row[2], max_rate)) / rate_scale,
+                         milliseconds(bounded(row[3], max_loan.count()))});
+    }
+    return true;
+}
+
 bool decode_limits(const nlohmann::json& parsed, limits_update& update) {
     if (!parsed.is_object() || !parsed.contains("version") ||
         !parsed["version"].is_number_unsigned() || !parsed.contains("services") ||
@@ -267,6 +305,13 @@
     if (report.address) {
         text["address"] = to_text(*report.address);
     }
+    if (!report.data_centre.value().empty()) {
+        text["data_centre"] = report.data_centre.value();
+    }
+    if (report.evacuations.number != 0) {
+        text["evacuations"] = report.evacuations.number;
+        text["evacuations_era"] = report.evacuations.era;
+    }
     if (report.contacts != 0) {
         text["contacts"] = report.contacts;
     }
@@ -347,6 +392,11 @@
         }
         report.address = *address;
     }
+    if (parsed.contains("data_centre") && parsed["data_centre"].is_string()) {
+        report.data_centre = data_centre_id(parsed["data_centre"].get<std::string>());
+    }
+    report.evacuations = {number_or_zero(parsed, "evacuations_era"),
+                          number_or_zero(parsed, "evacuations")};
     report.contacts = number_or_zero(parsed, "contacts");
     report.term = parsed.contains("term") && parsed["term"].is_number_unsigned()
                       ? parsed["term"].get<std::uint64_t>()
@@ -415,6 +465,16 @@
             text[name] = (*age)->count();
         }
     }
+    for (const evacuation_change& change : answer.evacuations) {
+        text["evacuations"].push_back({change.data_centre.value(), change.evacuated,
+                                       change.version.era, change.version.number});
+    }
+    for (const lent_allowance& loan : answer.loans) {
+        text["loans"].push_back(
+            {loan.server.id.value(), loan.server.start_time_ms,
+             static_cast<std::uint64_t>(std::lround(loan.requests_per_s * rate_scale)),
+             loan.valid_for.count()});
+    }
     for (const wire::endpoint& contact : answer.contacts) {
         text["contacts"].push_back(to_text(contact));
     }
@@ -537,6 +597,11 @@
     if (parsed.contains("limits") && !decode_limits(parsed["limits"], answer.limits.emplace())) {
         return false;
     }
+    if ((parsed.contains("evacuations") &&
+         !decode_evacuations(parsed["evacuations"], answer.evacuations)) ||
+        (parsed.contains("loans") && !decode_loans(parsed["loans"], answer.loans))) {
+        return false;
+    }
     if (parsed.contains("suspects") &&
         !decode_suspects(parsed["suspects"], answer.suspects.emplace())) {
         return false;
--- a/libs/gateway/tests/front_fixture.h
+++ b/libs/gateway/tests/front_fixture.h
@@ -77,6 +77,9 @@
         this->log = *telemetry::logger::create(options);
         front_settings settings;
         settings.data_centre = data_centre_id("dc");
+        settings.regions = {{data_centre_id("dc"), region_id("home")},
+                            {data_centre_id("dc2"), region_id("home")},
+                            {data_centre_id("far"), region_id("away")}};
         this->front = std::make_unique<::greengagechute::gateway::front>(
             this->loop, this->upstreams, *this->log, this->numbers, make_header_names(), settings,
             1);
@@ -105,21 +108,40 @@
         add("/unsafe/", request_kind::unsafe, "plain", 2);
         add("/keys/", request_kind::safe, "keys", 2);
         add("/unsafe-keys/", request_kind::unsafe, "keys", 2);
+        add("/bound/", request_kind::safe, "plain", 2);
+        content->routes.back().allowed_regions = {region_id("home")};
+        add("/bound-keys/", request_kind::safe, "keys", 2);
+        content->routes.back().allowed_regions = {region_id("home")};
+        content->services[service_id("frail")] = {service_id("frail"), false, 10, 5.0,
+                                                  milliseconds{3'000}};
+        add("/frail/", request_kind::safe, "frail", 2);
         index_routes(*content);
         this->front->set_catalogue(content);
     }
 
-    void add(const std::string& id, const std::string& service, const wire::endpoint& address) {
+    void add(const std::string& id, const std::string& service, const wire::endpoint& address,
+             const std::string& data_centre = "dc", milliseconds warmup_left = milliseconds{0}) {
         server_entry entry_of_server;
         entry_of_server.life = {server_id(id), 1};
         entry_of_server.service = service_id(service);
         entry_of_server.address = address;
-        entry_of_server.data_centre = data_centre_id("dc");
+        entry_of_server.data_centre = data_centre_id(data_centre);
+        entry_of_server.warmup_left = warmup_left;
         entry_of_server.slots = 2;
         this->servers.apply({{server_id(id), entry_of_server, {}}}, {}, wire::event_loop::now());
         this->front->set_servers(this->servers, wire::event_loop::now(), wire::event_loop::now());
     }
 
+    evacuation_table evacuations;
+
+    void evacuate(const std::string& data_centre, bool evacuated) {
+        const time_point now = wire::event_loop::now();
+        apply(this->evacuations,
+              {{data_centre_id(data_centre), evacuated, {0, this->evacuations.version.number + 1}}},
+              now);
+        this->front->set_evacuations(this->evacuations, now);
+    }
+
     void set_owner(const std::string& id) {
         this->front->set_owners(service_id("keys"),
                                 ranges::range_table{{{{}, {server_id(id), 1}}}});
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -228,13 +228,13 @@
         settings.host = gg::host_id("host-" + std::to_string(number));
         settings.address = {"127.0.0.1", this->server.port()};
         settings.capacity = capacity;
+        settings.data_centre = gg::data_centre_id("dc");
+        settings.regions = {{gg::data_centre_id("dc"), gg::region_id("home")},
+                            {gg::data_centre_id("far"), gg::region_id("away")}};
         this->part = std::make_unique<gateway::coordinator>(
             loop, this->peers, this->links, this->links, servers, log, settings,
             this->make_handlers(), static_cast<std::uint64_t>(number));
-        auto content = std::make_shared<gateway::catalogue>();
-        content->version = 1;
-        content->services[gg::service_id("keys")] = {gg::service_id("keys"), true, 10};
-        this->part->set_catalogue(content);
+        this->set_catalogue({});
         this->term = std::make_unique<gateway::table_watch>(
             loop, this->links, log, std::string(gateway::term_table), 0ms,
             [this](const gateway::table_update& update) {
@@ -244,6 +244,19 @@
         this->part->start();
     }
 
+    /// Sets a configuration with one divided service.
+    /// @param allowed  regions that its only route allows
+    void set_catalogue(const gg::dispatch::region_list& allowed) const {
+        auto content = std::make_shared<gateway::catalogue>();
+        content->version = 1;
+        content->services[gg::service_id("keys")] = {gg::service_id("keys"), true, 10, 5.0, 3s};
+        gateway::route made;
+        made.services = {{gg::service_id("keys"), 1}};
+        made.allowed_regions = allowed;
+        content->routes.push_back(made);
+        this->part->set_catalogue(content);
+    }
+
     gateway::coordinator_handlers make_handlers() {
         gateway::coordinator_handlers handlers;
         handlers.owners_changed = [this](const gg::service_id&, ranges::range_table table) {
@@ -264,6 +277,15 @@
         };
         handlers.store_era_changed = [](std::uint64_t) {};
         handlers.hosts_counted = [](int) {};
+        handlers.evacuations_relayed = [this](const auto& changes) {
+            apply(this->evacuations, changes, wire::event_loop::now());
+            this->part->set_evacuations(this->evacuations);
+        };
+        handlers.allowances_lent = [this](const auto& lent, gg::time_point from) {
+            for (const gateway::lent_allowance& loan : lent) {
+                this->loan_ends[loan.server] = from + loan.valid_for;
+            }
+        };
         handlers.collect_report = [this] {
             gateway::host_report report;
             report.losses = std::exchange(this->losses, {});
@@ -279,6 +301,9 @@
     std::unique_ptr<gateway::table_watch> term;
     ranges::range_table owners;
     std::vector<gateway::directory_update> relayed;
+    gateway::evacuation_table evacuations;
+    /// End of each allowance that this host has held.
+    std::map<ranges::server_instance, gg::time_point> loan_ends;
     /// Number of complete owner tables that this host has sent.
     int whole_tables = 0;
     /// Losses that the host still has to report.
@@ -317,6 +342,21 @@
         this->servers.apply({{leaving.life.id, leaving, at(2)}}, at(2), wire::event_loop::now());
         this->run_for(500ms);
     }
+    void change_server(const std::string& id, const std::string& data_centre,
+                       gg::milliseconds warmup_left, std::uint64_t version) {
+        gateway::server_entry entry = *this->servers.find(gg::server_id(id));
+        entry.data_centre = gg::data_centre_id(data_centre);
+        entry.warmup_left = warmup_left;
+        this->servers.apply({{entry.life.id, entry, at(version)}}, at(version),
+                            wire::event_loop::now());
+    }
+    /// Whether a lease of the server is routed to by the coordinating host.
+    bool has_keys(const std::string& id) const {
+        const ranges::range_table& owners =
+            this->hosts[static_cast<std::size_t>(this->coordinating())]->owners;
+        return std::any_of(owners.ranges.begin(), owners.ranges.end(),
+                           [&id](const auto& entry) { return entry.owner.id.value() == id; });
+    }
     /// Whether the store names the server as the owner of each key.
     bool stored_owner_is(const std::string& id) {
         const auto read = ranges::decode(this->store.value(gateway::owners_table, "keys"));
@@ -369,6 +409,70 @@
 
 }  // namespace
 
+// Guards against keys that stay with servers of an evacuated data centre, and against other hosts
+// that do not learn of the evacuation because the store does not answer them.
+BOOST_AUTO_TEST_CASE(keys_leave_an_evacuated_data_centre) {
+    coordination_fixture test;
+    test.change_server("b", "far", 0ms, 2);
+    test.add_hosts(2);
+    test.run_for(2'500ms);
+    BOOST_REQUIRE(test.coordinating() >= 0);
+    BOOST_TEST(test.has_keys("a"));
+    BOOST_TEST(test.has_keys("b"));
+    auto& leader = *test.hosts[static_cast<std::size_t>(test.coordinating())];
+    auto& other = *test.hosts[static_cast<std::size_t>(1 - test.coordinating())];
+    apply(leader.evacuations, {{gg::data_centre_id("far"), true, at(7)}}, wire::event_loop::now());
+    leader.part->set_evacuations(leader.evacuations);
+    test.run_for(700ms);
+    BOOST_TEST(!test.has_keys("b"));
+    BOOST_TEST(test.has_keys("a"));
+    BOOST_TEST(test.orders.releases > 0);
+    BOOST_TEST(test.orders.overlapping_grants == 0);
+    BOOST_TEST(evacuated_since(other.evacuations, gg::data_centre_id("far")).has_value());
+}
+
+// Guards against owners in regions to which requests for their keys may not be sent, after the
+// configuration has changed.
+BOOST_AUTO_TEST_CASE(keys_move_to_the_regions_of_their_routes) {
+    coordination_fixture test;
+    test.change_server("a", "dc", 0ms, 2);
+    test.change_server("b", "far", 0ms, 3);
+    test.add_hosts(1);
+    test.run_for(2'500ms);
+    BOOST_REQUIRE(test.coordinating() == 0);
+    BOOST_TEST(test.has_keys("b"));
+    test.hosts.front()->set_catalogue({gg::region_id("home")});
+    test.run_for(700ms);
+    BOOST_TEST(!test.has_keys("b"));
+    BOOST_TEST(test.stored_owner_is("a"));
+    BOOST_TEST(test.orders.overlapping_grants == 0);
+}
+
+// Guards against owned keys that flood a server which has become cold again, and against an
+// allowance that no host gets, or two hosts at once.
+BOOST_AUTO_TEST_CASE(keys_leave_a_cold_server_and_one_host_gets_its_allowance) {
+    coordination_fixture test;
+    test.add_hosts(2);
+    test.run_for(2'500ms);
+    BOOST_REQUIRE(test.coordinating() >= 0);
+    BOOST_TEST(test.has_keys("b"));
+    // A new coordinator lends nothing until the loans of an earlier one have ended.
+    test.run_for(3'500ms);
+    test.change_server("b", "", 3s, 2);
+    const ranges::server_instance cold{gg::server_id("b"), 1};
+    test.run_for(900ms);
+    BOOST_TEST(!test.has_keys("b"));
+    const auto holders =
+        std::count_if(test.hosts.begin(), test.hosts.end(),
+                      [&cold](const auto& host) { return host->loan_ends.contains(cold); });
+    BOOST_TEST(holders == 1);
+    test.run_for(2'600ms);
+    test.change_server("b", "", 0ms, 3);
+    test.run_for(1'500ms);
+    BOOST_TEST(test.has_keys("a"));
+    BOOST_TEST(test.orders.overlapping_grants == 0);
+}
+
 BOOST_AUTO_TEST_CASE(longest_prefix_selects_the_route) {
     gateway::catalogue content;
     for (const char* prefix : {"/a/", "/a/b/", "/"}) {
@@ -456,6 +560,30 @@
     BOOST_TEST(first.changes_since(at(15), start)->changes.empty());
 }
 
+// Guards against sending a server that has become cold again as much as a warm one, because its
+// entry differs from the known one in nothing else.
+BOOST_AUTO_TEST_CASE(server_that_becomes_cold_again_is_a_change) {
+    gateway::directory servers{gateway::directory_settings{}};
+    gateway::directory other{gateway::directory_settings{}};
+    const auto stated = [](gg::milliseconds left, std::uint64_t version) {
+        gateway::server_entry made;
+        made.life = {gg::server_id("a"), 1};
+        made.warmup_left = left;
+        return gateway::server_change{made.life.id, made, at(version)};
+    };
+    servers.replace({stated(3s, 1)}, at(1), start);
+    other.replace({stated(3s, 1)}, at(1), start);
+    BOOST_CHECK(servers.cold_until(gg::server_id("a")) == start + 3s);
+    servers.apply({stated(0s, 2)}, at(2), start + 4s);
+    BOOST_TEST(servers.changes_since(at(1), start + 4s)->changes.empty());
+    servers.apply({stated(3s, 3)}, at(3), start + 10s);
+    BOOST_CHECK(servers.cold_until(gg::server_id("a")) == start + 13s);
+    const auto update = servers.changes_since(at(1), start + 10s);
+    BOOST_REQUIRE(update->changes.size() == 1U);
+    other.apply(*update, start + 10s);
+    BOOST_CHECK(other.cold_until(gg::server_id("a")) == start + 13s);
+}
+
 // Guards against requests to a server that leaves, or has left, after the store came back from a
 // copy in which it is still ready.
 BOOST_AUTO_TEST_CASE(restored_entries_do_not_bring_leaving_servers_back) {
@@ -587,6 +715,8 @@
     report.suspects = 12;
     report.address = wire::endpoint{"10.1.0.10", 7'720};
     report.contacts = 13;
+    report.data_centre = gg::data_centre_id("dc");
+    report.evacuations = {2, 30};
     gateway::host_report read;
     BOOST_REQUIRE(decode(encode(report), read));
     BOOST_TEST(read.host.value() == "h1");
@@ -605,12 +735,16 @@
     BOOST_TEST(read.suspects == 12U);
     BOOST_CHECK(read.address == report.address);
     BOOST_TEST(read.contacts == 13U);
+    BOOST_TEST(read.data_centre.value() == "dc");
+    BOOST_CHECK((read.evacuations == gateway::store_version{2, 30}));
     gateway::report_answer answer;
     answer.term = 4;
     answer.catalogue = {2, 31};
     answer.catalogue_age = 430ms;
     answer.term_age = 1'200ms;
     answer.contacts = {{"10.1.0.10", 7'720}, {"10.2.0.10", 7'720}};
+    answer.evacuations = {{gg::data_centre_id("dc"), true, {2, 30}}};
+    answer.loans = {{{gg::server_id("i"), 5}, 4.1, 1'200ms}};
     answer.suspects = gateway::suspects_update{
         7, {{gateway::request_fingerprint(3), 4, 90s}}, {gateway::request_fingerprint(5)}};
     answer.limits = gateway::limits_update{
@@ -623,6 +757,15 @@
     BOOST_CHECK(read_answer.catalogue_age == 430ms);
     BOOST_CHECK(read_answer.term_age == 1'200ms);
     BOOST_CHECK(read_answer.contacts == answer.contacts);
+    BOOST_REQUIRE(read_answer.evacuations.size() == 1U);
+    BOOST_TEST(read_answer.evacuations.front().data_centre.value() == "dc");
+    BOOST_TEST(read_answer.evacuations.front().evacuated);
+    BOOST_CHECK((read_answer.evacuations.front().version == gateway::store_version{2, 30}));
+    BOOST_REQUIRE(read_answer.loans.size() == 1U);
+    BOOST_CHECK(
+        (read_answer.loans.front().server == ranges::server_instance{gg::server_id("i"), 5}));
+    BOOST_TEST(read_answer.loans.front().requests_per_s == 4.1);
+    BOOST_CHECK(read_answer.loans.front().valid_for == 1'200ms);
     BOOST_REQUIRE(read_answer.suspects.has_value());
     BOOST_TEST(read_answer.suspects->version == 7U);
     BOOST_REQUIRE(read_answer.suspects->requests.size() == 1U);
@@ -1182,9 +1325,9 @@
 // Guards against loads that are out of range or followed by other text, which would overflow sums
 // or let a server appear to have room.
 BOOST_AUTO_TEST_CASE(odd_loads_are_ignored) {
-    for (const char* load :
-         {"-1,0,3", "1,2147483647,3", "1,2,3x", "1,2", "", "1,2,3,", "1,2,3,x", "1,2,3,4x",
-          "1,2,3,0", "1,2,3,-4", "1,2,3,2147483647", "1,2,-3", "2147483647,2147483647,1", "1,2,0"}) {
+    for (const char* load : {"-1,0,3", "1,2147483647,3", "1,2,3x", "1,2", "", "1,2,3,", "1,2,3,x",
+                             "1,2,3,4x", "1,2,3,0", "1,2,3,-4", "1,2,3,2147483647", "1,2,-3",
+                             "2147483647,2147483647,1", "1,2,0"}) {
         BOOST_TEST(!gateway::parse_load(load).has_value(), load);
     }
     BOOST_REQUIRE(gateway::parse_load("1,2,3").has_value());
--- a/libs/gateway/tests/host_test.cpp
+++ b/libs/gateway/tests/host_test.cpp
@@ -162,6 +162,7 @@
         gateway::row_format format;
         format.catalogue_table = catalogue_table;
         format.catalogue_row = catalogue_row;
+        format.evacuation_prefix = "empty/";
         format.server_table = server_table;
         format.parse_catalogue = parse_catalogue;
         format.parse_server_entry = parse_server_entry;
@@ -354,6 +355,32 @@
     BOOST_TEST(test.ask("/new/x") != 404);
 }
 
+// Guards against requests to an evacuated data centre after the operator's bound, also when the
+// store's calls are silent and only the coordinator tells of it.
+BOOST_AUTO_TEST_CASE(evacuation_is_learned_from_the_store_and_from_the_coordinator) {
+    for (const bool from_store : {true, false}) {
+        host_fixture test;
+        test.start_coordinator();
+        test.add_plain_server(1ms);
+        test.start_host();
+        test.run_for(500ms);
+        wire::client caller(test.loop, {});
+        test.post(caller, "before");
+        test.run_for(100ms);
+        BOOST_TEST(test.statuses["before"] == 200);
+        if (from_store) {
+            test.store.put(catalogue_table, "empty/dc", "{}");
+        } else {
+            test.answer.evacuations = {{gg::data_centre_id("dc"), true, gateway::testing::at(1'000)}};
+        }
+        test.run_for(500ms);
+        test.post(caller, "after");
+        test.run_for(100ms);
+        BOOST_TEST(test.statuses["after"] == 503);
+        BOOST_TEST(!test.run_requests.contains("after"));
+    }
+}
+
 // Guards against requests to a server that left while the watch of the servers was silent and the
 // coordinator relayed none.
 BOOST_AUTO_TEST_CASE(silent_watch_does_not_hide_that_a_server_leaves) {
