--- a/libs/admission/include/admission/request_share.h
+++ b/libs/admission/include/admission/request_share.h
@@ -24,10 +24,20 @@
     double credit = 0;
 };
 
-/// Decides about the next request; returns whether it may be sent.
-/// @param urgent  the request is more urgent than others for the key; it may be sent in advance of
-///                the next one that would be
-bool take_next(sent_fraction& share, bool urgent);
+/// What turning a request away costs its caller, and the room that it needs.
+struct request_standing {
+    /// More urgent than others for the same servers.
+    bool urgent = false;
+    /// Its answer would come after the time within which it has its full value.
+    bool past_target = false;
+    /// Work that it needs, relative to the mean of the requests for the same servers. Above 0.
+    double relative_work = 1;
+};
+
+/// Decides about the next request; returns whether it may be sent. A request takes as much of the
+/// fraction as it needs work. An urgent one may be sent in advance of the next one that would be;
+/// one that is past its target is sent only out of what the others leave.
+bool take_next(sent_fraction& share, const request_standing& request);
 
 /// Time after which a caller whose request was refused may come back, before jitter. It grows with
 /// the part of the requests that is refused.
--- a/libs/admission/src/request_share.cpp
+++ b/libs/admission/src/request_share.cpp
@@ -30,17 +30,30 @@
 /// The limit ends when demand falls below this part of it.
 constexpr double unneeded_part = 0.7;
 constexpr double min_fraction = 0.001;
+/// Credit up to which requests save, and that one past its target needs.
+constexpr double max_credit = 2;
+constexpr double past_target_credit = 1.5;
+constexpr double min_relative_work = 0.5;
+constexpr double max_relative_work = 2;
 /// Bounds of the time after which callers come back.
 constexpr milliseconds min_time_to_return{150};
 constexpr milliseconds max_time_to_return{2'000};
 
 }  // namespace
 
-bool take_next(sent_fraction& share, bool urgent) {
+bool take_next(sent_fraction& share, const request_standing& request) {
+    const double work = std::clamp(request.relative_work, min_relative_work, max_relative_work);
     const double credit = share.credit + share.fraction;
-    const bool sent = credit >= (urgent ? 0 : 1);
-    // Refused requests save no more than one, so that a calm time is not followed by a burst.
-    share.credit = std::min(1.0, credit - (sent ? 1 : 0));
+    double needed = 1;
+    if (request.past_target) {
+        needed = past_target_credit;
+    } else if (request.urgent) {
+        needed = 0;
+    }
+    // With the whole fraction, nothing is to be turned away.
+    const bool sent = share.fraction >= 1 || credit >= needed;
+    // Refused requests save little, so that a calm time is not followed by a burst.
+    share.credit = std::clamp(credit - (sent ? work : 0), -max_credit, max_credit);
     return sent;
 }
 
--- a/libs/admission/tests/request_share_test.cpp
+++ b/libs/admission/tests/request_share_test.cpp
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr gg::time_point start{1h};
+constexpr admission::request_standing usual{};
+constexpr admission::request_standing urgent{true, false, 1};
 
 /// Many hosts that send requests for one key to its owner, which never answers what it cannot
 /// queue.
@@ -134,7 +136,7 @@
                 }
                 continue;
             }
-            if (entry.share && !admission::take_next(*entry.share, false)) {
+            if (entry.share && !admission::take_next(*entry.share, usual)) {
                 this->measured.refused_at_once += 1;
                 continue;
             }
@@ -339,13 +341,13 @@
 // against urgent requests alone that exceed the fraction.
 BOOST_AUTO_TEST_CASE(urgent_requests_are_sent_in_advance) {
     admission::sent_fraction share{0.25, 0.5};
-    BOOST_TEST(!admission::take_next(share, false));
-    BOOST_TEST(admission::take_next(share, true));
-    BOOST_TEST(!admission::take_next(share, false));
-    BOOST_TEST(!admission::take_next(share, false));
+    BOOST_TEST(!admission::take_next(share, usual));
+    BOOST_TEST(admission::take_next(share, urgent));
+    BOOST_TEST(!admission::take_next(share, usual));
+    BOOST_TEST(!admission::take_next(share, usual));
     int sent = 0;
     for (int count = 0; count < 400; ++count) {
-        sent += admission::take_next(share, true) ? 1 : 0;
+        sent += admission::take_next(share, urgent) ? 1 : 0;
     }
     BOOST_TEST(std::abs(sent - 100) <= 2);
 }
@@ -358,7 +360,7 @@
         int sent = 0;
         constexpr int requests = 10'000;
         for (int count = 0; count < requests; ++count) {
-            sent += admission::take_next(share, false) ? 1 : 0;
+            sent += admission::take_next(share, usual) ? 1 : 0;
         }
         BOOST_TEST(std::abs(sent - fraction * requests) <= 1);
     }
@@ -408,3 +410,45 @@
     BOOST_TEST(admission::is_unneeded(limit, load));
     BOOST_TEST(admission::fraction_to_send(limit, load) == 1);
 }
+
+// Guards against turning away requests that could be answered in time while some that are late
+// already are sent, and against turning away a request although all are to be sent.
+BOOST_AUTO_TEST_CASE(requests_past_their_target_give_way) {
+    admission::sent_fraction share{0.5, 0};
+    admission::request_standing late;
+    late.past_target = true;
+    int sent_in_time = 0;
+    int sent_late = 0;
+    constexpr int rounds = 1'000;
+    for (int count = 0; count < rounds; ++count) {
+        sent_late += admission::take_next(share, late) ? 1 : 0;
+        sent_in_time += admission::take_next(share, usual) ? 1 : 0;
+    }
+    BOOST_TEST(sent_in_time + sent_late >= rounds - 3);
+    BOOST_TEST(sent_in_time > 9 * sent_late);
+    admission::sent_fraction only_late{0.5, 0};
+    sent_late = 0;
+    for (int count = 0; count < rounds; ++count) {
+        sent_late += admission::take_next(only_late, late) ? 1 : 0;
+    }
+    BOOST_TEST(sent_late >= rounds / 2 - 3);
+    admission::sent_fraction whole{1, -1};
+    BOOST_TEST(admission::take_next(whole, late));
+}
+
+// Guards against work-intensive requests that take the room of many others at the price of one.
+BOOST_AUTO_TEST_CASE(requests_take_room_by_their_work) {
+    const auto sent_of = [](double relative_work) {
+        admission::sent_fraction share{0.4, 0};
+        admission::request_standing request;
+        request.relative_work = relative_work;
+        int sent = 0;
+        for (int count = 0; count < 1'000; ++count) {
+            sent += admission::take_next(share, request) ? 1 : 0;
+        }
+        return sent;
+    };
+    BOOST_TEST(sent_of(2) < sent_of(1));
+    BOOST_TEST(std::abs(2 * sent_of(2) - sent_of(1)) < 20);
+    BOOST_TEST(sent_of(0.5) > sent_of(1));
+}
--- /dev/null
+++ b/libs/dispatch/src/server_choice.cpp
@@ -0,0 +1,40 @@
+#include "dispatch/server_choice.h"
+
+#include <cmath>
+
+namespace greengagechute::dispatch {
+
+namespace {
+
+/// Requests per slot that a server runs and queues without harm.
+constexpr int max_outstanding_per_slot = 4;
+
+}  // namespace
+
+void weighted_pair::offer(std::size_t server, double weight, double draw) {
+    // The first arrivals of Poisson processes with these rates are a weighted sample without
+    // replacement.
+    const entry offered{server, -std::log(draw) / weight};
+    if (!this->first[0] || offered.arrival < this->first[0]->arrival) {
+        this->first[1] = this->first[0];
+        this->first[0] = offered;
+    } else if (!this->first[1] || offered.arrival < this->first[1]->arrival) {
+        this->first[1] = offered;
+    }
+}
+
+std::array<std::optional<std::size_t>, 2> weighted_pair::drawn() const {
+    std::array<std::optional<std::size_t>, 2> servers;
+    for (std::size_t place = 0; place < servers.size(); ++place) {
+        if (this->first[place]) {
+            servers[place] = this->first[place]->server;
+        }
+    }
+    return servers;
+}
+
+bool is_seldom_met(int hosts, int slots) {
+    return hosts > max_outstanding_per_slot * slots;
+}
+
+}  // namespace greengagechute::dispatch
