gateway: spread requests over uneven servers, serve what is still in time first

Cause: on the deployments with hundreds of hosts each host met a server every few seconds and sent to the one that looked best to it. In a crest, requests that were late already were sent before those that could still be in time.

Change: undivided services use the better of two drawn servers of the own region where hosts meet servers seldom; servers not met yet count as average. Waiting requests are ordered by what their callers lose. Hot keys turn away repetitions that are past their target first. The work time that servers state counts against its own average. The front's source is split further.

--- a/libs/gateway/include/gateway/balancer.h
+++ b/libs/gateway/include/gateway/balancer.h
@@ -25,6 +25,9 @@
     int work_time_percent = usual_work_time_percent;
 };
 
+/// Weight of a new sample in the exponential moving averages, which cover about the last ten.
+inline constexpr double average_weight = 0.1;
+
 /// Parses a load, "running,waiting,slots" or "running,waiting,slots,work time". Further fields are
 /// ignored. Returns nullopt if one of the first four is malformed or out of range, or without
 /// slots.
@@ -74,6 +77,8 @@
     reported_load reported;
     time_point reported_at;
     bool has_reported = false;
+    /// Moving average of the work time that it reported, in percent of the usual.
+    double mean_work_time_percent = usual_work_time_percent;
     /// A load that could not be read has been logged.
     bool unreadable_load_logged = false;
     /// Moving average of the time from sending a request to its response; 0 if none was measured.
--- a/libs/gateway/src/balancer.cpp
+++ b/libs/gateway/src/balancer.cpp
@@ -9,8 +9,10 @@
 
 namespace {
 
-/// Weight of a new sample in the exponential moving averages, which cover about the last ten.
-constexpr double smoothing = 0.1;
+constexpr double smoothing = average_weight;
+/// Bounds of the factor by which a reported work time changes the expected service time.
+constexpr double min_work_time_factor = 0.5;
+constexpr double max_work_time_factor = 3.0;
 /// Cost of a failed request, as a multiple of the latency of a successful one.
 constexpr double failure_cost = 8.0;
 /// Factor by which a server is slower while it warms up.
@@ -84,6 +86,8 @@
     }
     double outstanding = server.in_flight;
     if (is_load_recent(server, settings, now)) {
+        service *= std::clamp(server.reported.work_time_percent / server.mean_work_time_percent,
+                              min_work_time_factor, max_work_time_factor);
         outstanding =
             std::max<double>(outstanding, server.reported.running + server.reported.waiting);
     }
@@ -147,6 +151,8 @@
 
 void record_load(server_state& server, const reported_load& load, time_point now) {
     server.reported = load;
+    server.mean_work_time_percent +=
+        smoothing * (load.work_time_percent - server.mean_work_time_percent);
     server.reported_at = now;
     server.has_reported = true;
 }
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace greengagechute::gateway {
@@ -24,6 +25,19 @@
     return number;
 }
 
+/// Notes the deadline that a caller states. Returns for how many milliseconds the caller has
+/// already repeated the request: callers that repeat one state what is left of their deadline.
+double note_deadline(route_facts& facts, milliseconds stated) {
+    constexpr double forgotten_per_request = 0.001;
+    const auto ms = static_cast<double>(stated.count());
+    if (ms >= facts.deadline_ms) {
+        facts.deadline_ms = ms;
+    } else {
+        facts.deadline_ms -= forgotten_per_request * (facts.deadline_ms - ms);
+    }
+    return stated > milliseconds{0} ? std::max(0.0, facts.deadline_ms - ms) : 0;
+}
+
 }  // namespace
 
 front::front(wire::event_loop& loop, wire::client& upstreams, telemetry::logger& log,
@@ -379,13 +393,15 @@
         this->seen_keys[active->service].push_back(active->key);
     }
     milliseconds allowed = this->settings.default_deadline;
+    milliseconds stated{0};
     if (const std::string* text = wire::find_header(message.headers, this->names.deadline)) {
         const auto deadline = parse_number(text);
         if (!deadline || *deadline <= 0) {
             this->reject(request, code::bad_request, gateway_errc::invalid_deadline);
             return;
         }
-        allowed = milliseconds(*deadline) - 2 * this->settings.caller_latency;
+        stated = milliseconds(*deadline);
+        allowed = stated - 2 * this->settings.caller_latency;
     }
     if (matched_route->timeout > milliseconds{0}) {
         allowed = std::min(allowed, matched_route->timeout);
@@ -397,6 +413,13 @@
         active->id = *id;
     }
     active->trail = telemetry::request_trail(active->id);
+    service_pool& pool = this->service_of(active->service, active->arrived);
+    active->facts = &pool.routes[matched_route->name];
+    if (matched_route->target_latency > milliseconds{0}) {
+        const double already_waited = note_deadline(*active->facts, stated);
+        active->target_by = active->arrived + matched_route->target_latency -
+                            milliseconds(std::llround(already_waited));
+    }
     this->log.add(active->trail, telemetry::level::info, "request_accepted",
                   {{"route", matched_route->name},
                    {"service", active->service.value()},
--- a/libs/gateway/src/front_answers.cpp
+++ b/libs/gateway/src/front_answers.cpp
@@ -277,6 +277,8 @@
         constexpr double smoothing = 0.05;
         pool.latency_ms =
             pool.latency_ms > 0 ? pool.latency_ms + smoothing * (ms - pool.latency_ms) : ms;
+        double& route_ms = active->facts->latency_ms;
+        route_ms = route_ms > 0 ? route_ms + smoothing * (ms - route_ms) : ms;
     }
     active->may_have_run = true;
     this->on_response(active, std::move(outcome.message), now);
--- a/libs/gateway/src/front_dispatch.cpp
+++ b/libs/gateway/src/front_dispatch.cpp
@@ -1,6 +1,8 @@
+#include "dispatch/waiting_order.h"
 #include "front_state.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace greengagechute::gateway {
@@ -17,162 +19,13 @@
 /// Most requests take less.
 constexpr double min_shutdown_time_ratio = 2.0;
 /// Maximum number of queued requests examined in one pass.
-constexpr int max_dispatched_per_pass = 256;
-/// How long a draining owner still receives requests. A draining server serves for at least 2 s.
-constexpr milliseconds max_draining_owner_use{1'500};
-/// Added to the cost of servers whose registration has lapsed, so that they are used only if no
-/// other server is available.
-constexpr double lapsed_registration_cost_ms = 60'000;
-/// Time for which a limit holds after the coordinator has stated it last. A lost coordinator is
-/// replaced within it, and the next one learns the load.
-constexpr milliseconds max_limit_age{3'000};
+constexpr std::size_t max_dispatched_per_pass = 256;
 /// Moves and the expiry of a 2 s lease take less time than this. A key that has had no owner for
 /// longer waits for the store to return, so requests for it are refused immediately.
 constexpr milliseconds max_move_duration{2'500};
 
 }  // namespace
 
-/// Returns the owner of the request's key if it may receive one more request.
-server_choice front::state::choose_owner(const active_request& active, service_pool& pool,
-                                         time_point now) {
-    const ranges::server_instance* owner = owner_of(pool.owners, active.key);
-    if (owner == nullptr) {
-        return {nullptr, "no_owner"};
-    }
-    if (owner->id.value().empty() ||
-        now < pool.next_probe_at[range_index(pool.owners, active.key)]) {
-        return {nullptr, "range_moving"};
-    }
-    const auto found = pool.servers.find(owner->id);
-    if (found == pool.servers.end() || found->second.entry.life != *owner) {
-        return {nullptr, "owner_not_registered"};
-    }
-    server_state& server = found->second;
-    if (server.replaced ||
-        (server.entry.draining && now > server.draining_since + max_draining_owner_use)) {
-        return {nullptr, "owner_left"};
-    }
-    switch (dispatch::check_owner(server.place, active.matched_route->allowed_regions,
-                                  max_draining_owner_use, now)) {
-        case dispatch::verdict::region_not_allowed:
-            return {nullptr, "region_not_allowed"};
-        case dispatch::verdict::evacuated:
-            return {nullptr, "owner_evacuated"};
-        case dispatch::verdict::cold:
-            if (!this->has_loan(server, now)) {
-                return {nullptr, "owner_cold"};
-            }
-            break;
-        case dispatch::verdict::eligible:
-            break;
-    }
-    if (is_pause_asked(server.notices, now)) {
-        return {nullptr, "owner_asked_pause"};
-    }
-    if (!accepts_owned_work(server.notices, max_draining_owner_use, now)) {
-        return {nullptr, "owner_leaving"};
-    }
-    if (now < server.paused_until) {
-        return {nullptr, "owner_paused"};
-    }
-    if (server.in_flight >= concurrency_limit(server, this->hosts, this->settings.balancer, now)) {
-        return {nullptr, "owner_full"};
-    }
-    return {&server, {}};
-}
-
-server_choice front::state::choose_server(const active_request& active, service_pool& pool,
-                                          time_point now) {
-    if (now < active.retry_at) {
-        return {nullptr, "pause_after_failure"};
-    }
-    if (active.divided) {
-        return this->choose_owner(active, pool, now);
-    }
-    const balancer_settings& rules = this->settings.balancer;
-    const dispatch::region_list& allowed = active.matched_route->allowed_regions;
-    server_state* best = nullptr;
-    double best_ms = 0;
-    bool withheld_cold = false;
-    for (auto& [id, server] : pool.servers) {
-        if (!is_available(server, now) || active.tried_servers.contains(id) ||
-            server.in_flight >= concurrency_limit(server, this->hosts, rules, now)) {
-            continue;
-        }
-        const dispatch::verdict found = dispatch::check(server.place, allowed, now);
-        const bool lent = found == dispatch::verdict::cold && this->has_loan(server, now);
-        if (found != dispatch::verdict::eligible && !lent) {
-            withheld_cold = withheld_cold || found == dispatch::verdict::cold;
-            continue;
-        }
-        const double ms = placement_cost(server, this->distance_to(server.entry),
-                                         active.matched_route->target_latency, rules, now) +
-                          this->random_unit() +  // Jitter spreads requests over equal servers.
-                          (server.registration_lapsed ? lapsed_registration_cost_ms : 0);
-        if (best == nullptr || ms < best_ms) {
-            best = &server;
-            best_ms = ms;
-        }
-    }
-    if (best != nullptr) {
-        return {best, {}};
-    }
-    return {nullptr, withheld_cold ? "servers_cold" : "no_server_free"};
-}
-
-/// Whether this host holds the allowance of a cold server, and may send a request out of it now.
-bool front::state::has_loan(const server_state& server, time_point now) const {
-    const auto loan = this->loans.find(server.entry.life);
-    return loan != this->loans.end() && dispatch::has_credit(loan->second, now);
-}
-
-/// Why no server may run the request, whatever its load; empty if one may, if none is known, or if
-/// the key is about to move to one.
-std::optional<gateway_errc> front::state::barred_by(const active_request& active,
-                                                    const service_pool& pool,
-                                                    time_point now) const {
-    const dispatch::region_list& allowed = active.matched_route->allowed_regions;
-    bool evacuated = false;
-    bool barred = false;
-    if (active.divided) {
-        const ranges::server_instance* const owner = owner_of(pool.owners, active.key);
-        const auto found = owner == nullptr ? pool.servers.end() : pool.servers.find(owner->id);
-        if (found != pool.servers.end() &&
-            !dispatch::is_allowed(allowed, found->second.place.region)) {
-            return gateway_errc::region_not_allowed;
-        }
-    }
-    for (const auto& [id, server] : pool.servers) {
-        if (server.entry.draining || server.replaced || server.notices.leaving_since) {
-            continue;
-        }
-        const dispatch::verdict found = dispatch::check(server.place, allowed, now);
-        if (found == dispatch::verdict::eligible || found == dispatch::verdict::cold) {
-            return std::nullopt;
-        }
-        evacuated = evacuated || found == dispatch::verdict::evacuated;
-        barred = true;
-    }
-    if (!barred) {
-        return std::nullopt;
-    }
-    return evacuated ? gateway_errc::data_centre_evacuated : gateway_errc::region_not_allowed;
-}
-
-/// Refuses the request if no server may run it, whatever its load. Returns whether it was refused.
-bool front::state::refuse_if_barred(const request_handle& active, const service_pool& pool,
-                                    time_point now) {
-    const auto reason = this->barred_by(*active, pool, now);
-    if (!reason) {
-        return false;
-    }
-    (*reason == gateway_errc::region_not_allowed ? this->refused_by_region
-                                                 : this->refused_by_evacuation)
-        .add();
-    this->refuse(active, *reason, now);
-    return true;
-}
-
 bool front::state::try_send(const request_handle& active, service_pool& pool, time_point now) {
     const server_choice found = this->choose_server(*active, pool, now);
     if (found.server == nullptr) {
@@ -263,45 +116,6 @@
            left;
 }
 
-/// The limit in force for the key of the request; nullptr if there is none.
-limited_keys* front::state::find_limit(const active_request& active, service_pool& pool,
-                                       time_point now) {
-    if (!active.divided) {
-        return nullptr;
-    }
-    const auto found =
-        std::find_if(pool.limits.begin(), pool.limits.end(), [&](const limited_keys& limit) {
-            return limit.keys.first <= active.key && active.key <= limit.keys.last &&
-                   now - limit.set_at < max_limit_age;
-        });
-    return found == pool.limits.end() ? nullptr : &*found;
-}
-
-/// Whether the service has routes with less urgent requests.
-bool front::state::is_urgent(const active_request& active) const {
-    return std::any_of(active.config->routes.begin(), active.config->routes.end(),
-                       [&active](const route& other) {
-                           return other.priority > active.matched_route->priority &&
-                                  std::any_of(other.services.begin(), other.services.end(),
-                                              [&active](const weighted_service& target) {
-                                                  return target.service == active.service;
-                                              });
-                       });
-}
-
-/// Refuses the request if it is beyond what this host sends of the requests for a hot key. Returns
-/// whether it was refused.
-bool front::state::refuse_if_limited(const request_handle& active, service_pool& pool,
-                                     time_point now) {
-    limited_keys* const limit = find_limit(*active, pool, now);
-    if (limit == nullptr || admission::take_next(limit->share, this->is_urgent(*active))) {
-        return false;
-    }
-    this->limited_count.add();
-    this->refuse(active, gateway_errc::key_limited, now);
-    return true;
-}
-
 /// When the first server that may run the request ends the pause that it asked for; empty if there
 /// is a server that did not ask for one.
 std::optional<time_point> front::state::pause_end(const active_request& active,
@@ -529,46 +343,52 @@
     const time_point now = wire::event_loop::now();
     service_pool& pool = this->service_of(service, now);
     pool.dispatch_timer = 0;
-    int examined = 0;
+    std::vector<std::list<request_handle>::iterator> queue;
+    std::vector<dispatch::waiting_request> facts;
     for (auto next = pool.waiting.begin();
-         next != pool.waiting.end() && examined < max_dispatched_per_pass; ++examined) {
+         next != pool.waiting.end() && queue.size() < max_dispatched_per_pass; ++next) {
+        queue.push_back(next);
+        const active_request& active = **next;
+        facts.push_back({active.matched_route->priority, active.arrived, active.target_by,
+                         milliseconds(std::llround(active.facts->latency_ms))});
+    }
+    for (const std::size_t index : dispatch::order_of_service(facts, now)) {
+        const auto next = queue[index];
         const request_handle active = *next;
         if (active->done) {
-            next = pool.waiting.erase(next);
+            pool.waiting.erase(next);
             continue;
         }
         if (this->is_cut_by_shutdown(*active, pool, 0, now)) {
-            next = pool.waiting.erase(next);
+            pool.waiting.erase(next);
             this->refuse(active, gateway_errc::shutting_down, now);
             continue;
         }
         if (this->refuse_if_quarantined(active, now)) {
-            next = pool.waiting.erase(next);
+            pool.waiting.erase(next);
             continue;
         }
         const server_choice found = this->choose_server(*active, pool, now);
         if (found.server != nullptr) {
-            next = pool.waiting.erase(next);
+            pool.waiting.erase(next);
             this->send(active, *found.server, now);
             continue;
         }
         if (is_long_unowned(*active, pool, now)) {
-            next = pool.waiting.erase(next);
+            pool.waiting.erase(next);
             this->refuse(active, gateway_errc::no_owner, now);
             continue;
         }
         if (this->refuse_if_barred(active, pool, now) ||
             this->refuse_if_paused(active, pool, now)) {
-            next = pool.waiting.erase(next);
+            pool.waiting.erase(next);
             continue;
         }
         const double left = to_ms(active->answer_by - now);
         if (left < pool.latency_ms * min_useful_time_ratio) {
-            next = pool.waiting.erase(next);
+            pool.waiting.erase(next);
             this->refuse(active, gateway_errc::not_run_in_time, now);
-            continue;
         }
-        ++next;
     }
     if (!pool.waiting.empty()) {
         this->schedule_dispatch(service, unreachable_retry_delay);
--- a/libs/gateway/src/front_state.h
+++ b/libs/gateway/src/front_state.h
@@ -3,6 +3,7 @@
 #include "admission/request_share.h"
 #include "admission/retry_budget.h"
 #include "dispatch/cold_allowance.h"
+#include "dispatch/server_choice.h"
 #include "gateway/errors.h"
 #include "gateway/front.h"
 #include "gateway/request_fingerprint.h"
@@ -40,6 +41,8 @@
 inline constexpr int gateway_timeout = 504;
 }  // namespace code
 
+/// How long a draining owner still receives requests. A draining server serves for at least 2 s.
+inline constexpr milliseconds max_draining_owner_use{1'500};
 /// Delay before retrying a server to which no connection could be established.
 inline constexpr milliseconds unreachable_retry_delay{80};
 
@@ -110,6 +113,15 @@
     return static_cast<std::size_t>(found - table.ranges.begin());
 }
 
+/// What is known of the requests on a route.
+struct route_facts {
+    /// Moving average of the latency of successful attempts; 0 if none was measured.
+    double latency_ms = 0;
+    /// Longest deadline that callers state, forgotten slowly. A caller that repeats a request
+    /// states what is left of it.
+    double deadline_ms = 0;
+};
+
 /// A caller's request, from its arrival until it is answered.
 struct active_request {
     std::shared_ptr<wire::incoming> caller;
@@ -121,6 +133,11 @@
     wire::request message;
     std::string id;
     time_point arrived;
+    /// Time until which an answer has its full value; the epoch if the route states no target. In
+    /// the past if the caller has repeated the request for that long.
+    time_point target_by;
+    /// What is known of the requests on its route.
+    route_facts* facts = nullptr;
     /// Deadline: the earlier of the caller's deadline and the route's timeout.
     time_point answer_by;
     wire::timer_id deadline_timer = 0;
@@ -185,6 +202,8 @@
     std::vector<time_point> next_probe_at;
     token_bucket move_retries;
     std::vector<limited_keys> limits;
+    /// By the name of the route.
+    std::unordered_map<std::string, route_facts> routes;
     std::list<request_handle> waiting;
     wire::timer_id dispatch_timer = 0;
     time_point dispatch_at;
@@ -276,6 +295,11 @@
     static limited_keys* find_limit(const active_request& active, service_pool& pool,
                                     time_point now);
     bool is_urgent(const active_request& active) const;
+    bool is_seldom_met(const service_pool& pool) const;
+    admission::request_standing standing_of(const active_request& active, const service_pool& pool,
+                                            time_point now) const;
+    void draw_servers(std::vector<server_state*>& usable, milliseconds target_latency,
+                      const balancer_settings& rules, time_point now);
     bool refuse_if_limited(const request_handle& active, service_pool& pool, time_point now);
     request_fingerprint content_of(active_request& active) const;
     bool refuse_if_quarantined(const request_handle& active, time_point now);
--- a/libs/gateway/tests/front_fixture.h
+++ b/libs/gateway/tests/front_fixture.h
@@ -115,6 +115,8 @@
         content->services[service_id("frail")] = {service_id("frail"), false, 10, 5.0,
                                                   milliseconds{3'000}};
         add("/frail/", request_kind::safe, "frail", 2);
+        add("/timed-keys/", request_kind::safe, "keys", 2);
+        content->routes.back().target_latency = milliseconds{1'000};
         index_routes(*content);
         this->front->set_catalogue(content);
     }
--- a/libs/gateway/tests/host_test.cpp
+++ b/libs/gateway/tests/host_test.cpp
@@ -371,7 +371,8 @@
         if (from_store) {
             test.store.put(catalogue_table, "empty/dc", "{}");
         } else {
-            test.answer.evacuations = {{gg::data_centre_id("dc"), true, gateway::testing::at(1'000)}};
+            test.answer.evacuations = {
+                {gg::data_centre_id("dc"), true, gateway::testing::at(1'000)}};
         }
         test.run_for(500ms);
         test.post(caller, "after");
