wire: statuses that HTTP does not have are failures

Callers saw: of a server that answered 000 or 099, nothing until their deadline (504), because the answer was skipped as an interim one and the next answer on the connection would have been taken in its place; of one that answered 600 or 999, that answer.

Cause: any status below 200 counted as interim, any from 200 on as final.

Change: a status below 100 or above 599, or 101, which is never asked for, is a malformed response: a request that may be repeated goes to another server, any other is answered 502 at once. The daemon's client refuses statuses above 599 as well; those below 200 it refused before.

--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -22,6 +22,7 @@
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
 constexpr int first_final_status = 200;
+constexpr int last_status = 599;
 /// libwebsockets cuts the request line at 2048 bytes, of which its fixed parts take 14.
 constexpr std::size_t longest_request_line = 2'000;
 
@@ -445,7 +446,8 @@
     client_state& state = *carrier.place->owner;
     const int status = static_cast<int>(lws_http_client_http_response(wsi));
     const header_list headers = read_headers(wsi, state.limits.custom_headers);
-    if (status < first_final_status || header_size(headers) > state.limits.header_bytes ||
+    if (status < first_final_status || status > last_status ||
+        header_size(headers) > state.limits.header_bytes ||
         !read_framing(started, status, headers)) {
         fail(state, started, http_errc::malformed_response);
         return -1;
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -452,6 +452,9 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nX-Key: " + std::string(40'000, 'k') + "\r\nContent-Length: 0\r\n\r\n",
         std::string(100'000, 'x'),
+        "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 999 X\r\nContent-Length: 0\r\n\r\n",
     };
     for (const std::string& text : broken) {
         fixture f;
--- a/libs/wire/src/message.cpp
+++ b/libs/wire/src/message.cpp
@@ -32,7 +32,10 @@
     }
 }
 
+constexpr int first_interim_status = 100;
+constexpr int switching_protocols = 101;
 constexpr int first_final_status = 200;
+constexpr int last_status = 599;
 constexpr int no_content = 204;
 constexpr int not_modified = 304;
 
@@ -150,6 +153,11 @@
     parser.flags = static_cast<unsigned char>(parser.flags & ~static_cast<unsigned>(F_UPGRADE));
 }
 
+/// Whether a response may have the status. A switch of protocols is never asked for.
+bool is_valid_status(unsigned int status) {
+    return status >= first_interim_status && status <= last_status && status != switching_protocols;
+}
+
 http_parser_settings make_settings(bool requests) {
     http_parser_settings settings{};
     settings.on_message_begin = [](http_parser* parser) {
@@ -233,7 +241,8 @@
             collector& own = of(parser);
             own.headers_done = true;
             ignore_upgrade(*parser);
-            if (!std::all_of(own.headers.begin(), own.headers.end(), is_clean)) {
+            if (!is_valid_status(parser->status_code) ||
+                !std::all_of(own.headers.begin(), own.headers.end(), is_clean)) {
                 return own.fail(wire_errc::malformed_response);
             }
             return own.no_body ? 1 : 0;
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -327,6 +327,28 @@
     BOOST_TEST(second.error() == make_error_code(wire::wire_errc::body_too_large));
 }
 
+// Guards against an answer whose status is none of HTTP's, as servers in trouble send: as an
+// interim answer it would be skipped, and a later answer taken in its place; as a final one, passed
+// on.
+BOOST_AUTO_TEST_CASE(responses_with_invalid_statuses_are_malformed) {
+    for (const char* status : {"000", "0", "1", "99", "101", "600", "700", "999"}) {
+        wire::response_parser parser;
+        std::size_t used = 0;
+        const std::string text = std::string("HTTP/1.1 ") + status +
+                                 " X\r\nContent-Length: 0\r\n\r\n"
+                                 "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        BOOST_TEST(!parser.feed(text, used), status);
+        BOOST_TEST(parser.error() == make_error_code(wire::wire_errc::malformed_response));
+    }
+    for (const char* status : {"200", "299", "404", "500", "599"}) {
+        wire::response_parser parser;
+        std::size_t used = 0;
+        BOOST_TEST(parser.feed(
+                       std::string("HTTP/1.1 ") + status + " X\r\nContent-Length: 0\r\n\r\n", used),
+                   status);
+    }
+}
+
 // Guards against an answer cut short being taken for a whole one, and against interim answers.
 BOOST_AUTO_TEST_CASE(responses_end_as_they_are_framed) {
     wire::response_parser interim;
