soak: play evacuated zones, bound regions, cold and uneven servers

Checked: nothing reaches a barred zone, nothing an evacuated one after its bound, no cold server more than the users' bound.

Four findings of the linter are mended.

--- a/libs/dispatch/tests/cold_allowance_test.cpp
+++ b/libs/dispatch/tests/cold_allowance_test.cpp
@@ -32,6 +32,7 @@
 
 std::vector<borrower> make_hosts(int count) {
     std::vector<borrower> hosts;
+    hosts.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number) {
         hosts.push_back(make_host("h" + std::to_string(number), "a", "r"));
     }
--- a/libs/dispatch/tests/waiting_order_test.cpp
+++ b/libs/dispatch/tests/waiting_order_test.cpp
@@ -100,6 +100,7 @@
 // Guards against late requests that never get a place, and against places left free beside them.
 BOOST_AUTO_TEST_CASE(late_requests_get_a_part_of_the_places) {
     std::vector<waiting_request> waiting;
+    waiting.reserve(12);
     for (int count = 0; count < 10; ++count) {
         waiting.push_back(make_request(0, milliseconds{count}, 1s, 100ms));
     }
--- a/tests/soak/hosts.cpp
+++ b/tests/soak/hosts.cpp
@@ -17,7 +17,8 @@
     const int first = first_port + number * ports_of_host;
     this->settings_path = this->directory + "/" + this->host_name + ".conf";
     std::ofstream file(this->settings_path);
-    file << "nodeName=" << this->host_name << "\nip=" << ip << "\nzone=a\nzones.a=north\n"
+    file << "nodeName=" << this->host_name << "\nip=" << ip
+         << "\nzone=a\nzones.a=north\nzones.b=north\nzones.c=south\n"
          << "listen.front=" << ip << ":" << first << "\nlisten.readyAddr=" << ip << ":" << first + 1
          << "\ninternalPorts=" << first + 2 << "," << first + 2
          << "\nplatform.address=127.0.0.1:" << this->to_store.address().port
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -35,6 +35,7 @@
     int servers = 6;
     int basic = 0;
     int silence_and_crash = 0;
+    int places = 0;
     int nothing_else = 0;
 };
 
@@ -137,6 +138,9 @@
                 }
                 this->check_configuration();
             }
+            if (this->options.places != 0) {
+                this->evacuate();
+            }
         });
         this->loop.call_after(warm_up + faults, [this] { this->heal(); });
         this->loop.call_after(warm_up + faults + recovery, [this] { this->judging = true; });
@@ -156,7 +160,45 @@
         this->servers.push_back(std::make_unique<keyed_server>(
             this->loop, this->store, this->seen, this->random,
             "i-" + std::to_string(this->seed) + "-" + std::to_string(this->servers.size()), service,
-            this->servers));
+            this->zone_of(this->servers.size()), this->servers));
+        if (this->options.places != 0) {
+            this->servers.back()->set_uneven();
+        }
+    }
+
+    /// With places: one server in three is in a zone that is evacuated at times, one in nine in a
+    /// region where only keyed requests may run.
+    std::string zone_of(std::size_t number) const {
+        if (this->options.places == 0) {
+            return "a";
+        }
+        return number % 9 == 5 ? "c" : number % 3 == 1 ? "b" : "a";
+    }
+
+    /// A zone is evacuated for some seconds; its servers come back cold half of the times.
+    void evacuate() {
+        if (this->healing) {
+            return;
+        }
+        this->note("zone b is evacuated");
+        this->store.put("op", "evacuate/b", "{}");
+        this->seen.evacuation_changed("b", true, wire::event_loop::now());
+        this->loop.call_after(milliseconds(1'000 + this->draw_silence(7'000)),
+                              [this] { this->end_evacuation(); });
+    }
+
+    void end_evacuation() {
+        const bool cold = this->draw_silence(2) == 0;
+        this->note(cold ? "zone b is taken back, cold" : "zone b is taken back");
+        for (const auto& server : this->servers) {
+            if (cold && server->zone_name() == "b") {
+                server->become_cold();
+            }
+        }
+        this->store.erase("op", "evacuate/b");
+        this->seen.evacuation_changed("b", false, wire::event_loop::now());
+        this->loop.call_after(milliseconds(1'000 + this->draw_silence(4'000)),
+                              [this] { this->evacuate(); });
     }
 
     int draw(int below) { return static_cast<int>(this->random() % static_cast<unsigned>(below)); }
@@ -175,15 +217,27 @@
         rows.push_back({"read", "soak", "/read/", "safe", 1, 0.3, 2, 2, "keyed"});
         rows.push_back({"credit", "soak", "/credit/", "unsafe", 1, 0.3, 1, 2, "keyed"});
         rows.push_back({"plain", "soak", "/plain/", "safe", 1, 0.3, 2, 2, "plain"});
+        json all_columns = columns;
+        json service_columns{"name", "healthPath", "maxConnections", "sharded"};
+        json service_rows{{"keyed", "/health", 100, true}, {"plain", "/health", 100, false}};
         // Only the newest version has this route.
         const std::string newest = "v" + std::to_string(++this->version);
         rows.push_back({newest, "soak", "/" + newest + "/", "safe", 1, 0.3, 2, 2, "plain"});
-        const json services{
-            {"columns", {"name", "healthPath", "maxConnections", "sharded"}},
-            {"rows", {{"keyed", "/health", 100, true}, {"plain", "/health", 100, false}}}};
+        if (this->options.places != 0) {
+            all_columns.push_back("allowedRegions");
+            rows[2].push_back({"north"});
+            rows[3].push_back({"north"});
+            service_columns.push_back("warmupPerS");
+            service_columns.push_back("warmupS");
+            for (json& row : service_rows) {
+                row.push_back(4);
+                row.push_back(3);
+            }
+        }
+        const json services{{"columns", service_columns}, {"rows", service_rows}};
         this->configuration = json{
             {"version", this->version},
-            {"routes", {{"columns", columns}, {"rows", rows}}},
+            {"routes", {{"columns", all_columns}, {"rows", rows}}},
             {"services", services},
             {"limits",
              json::object()}}.dump();
@@ -853,8 +907,10 @@
          "no restored store, faulty answers or odd rows", nullptr},
         {"silence-and-crash", 'm', POPT_ARG_NONE, &options.silence_and_crash, 0,
          "also silent connections, and requests that end servers", nullptr},
+        {"places", 'e', POPT_ARG_NONE, &options.places, 0,
+         "also evacuated zones, bound regions, cold and uneven servers", nullptr},
         {"nothing-else", 'o', POPT_ARG_NONE, &options.nothing_else, 0,
-         "with --silence-and-crash: no other faults", nullptr},
+         "with --silence-and-crash or --places: no other faults", nullptr},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext("soak", argc, argv, table, 0);
     const int code = poptGetNextOpt(context);
--- a/tests/soak/servers.cpp
+++ b/tests/soak/servers.cpp
@@ -27,6 +27,12 @@
 constexpr int clock_slow_percent = 2;
 constexpr int percent = 100;
 constexpr int misdirected = 421;
+/// `evacuateS`, `warmupS` and the bound on requests in a second of the users, for 4 a second.
+constexpr milliseconds evacuation_bound{5'000};
+constexpr milliseconds warmup{3'000};
+constexpr std::size_t most_cold_arrivals = 14;
+/// Region that no route to the undivided service allows.
+constexpr const char* barred_zone = "c";
 constexpr int unavailable = 503;
 constexpr int fenced = 409;
 constexpr int failed = 500;
@@ -55,6 +61,15 @@
     return counted == this->runs.end() ? 0 : counted->second;
 }
 
+void observer::evacuation_changed(const std::string& zone, bool evacuated_now, time_point now) {
+    this->evacuated[zone] = evacuated_now ? now : time_point{};
+}
+
+time_point observer::evacuated_since(const std::string& zone) const {
+    const auto known = this->evacuated.find(zone);
+    return known == this->evacuated.end() ? time_point{} : known->second;
+}
+
 bool observer::forgives(time_point now) const {
     return now - this->forgiven_since < thaw_slack;
 }
@@ -81,6 +96,7 @@
 
 keyed_server::keyed_server(wire::event_loop& own_loop, row_store& rows, observer& observed,
                            std::mt19937_64& generator, std::string own_id, std::string own_service,
+                           std::string own_zone,
                            const std::vector<std::unique_ptr<keyed_server>>& all)
     : loop(own_loop),
       store(rows),
@@ -88,6 +104,7 @@
       random(generator),
       id(std::move(own_id)),
       service(std::move(own_service)),
+      zone(std::move(own_zone)),
       others(all),
       way(own_loop, {"127.0.0.1", 1}) {}
 
@@ -98,6 +115,8 @@
                                                 .count());
     this->draining = false;
     this->says_leaving = false;
+    this->cold_until = wire::event_loop::now() + (this->uneven ? warmup : milliseconds{0});
+    this->cold_arrivals.clear();
     this->server = std::make_unique<wire::server>(
         this->loop,
         [this](const std::shared_ptr<wire::incoming>& request) { this->handle(request); });
@@ -172,17 +191,38 @@
     const json entry{
         {"address", "127.0.0.1:" + std::to_string(this->way.address().port)},
         {"born", this->born},
-        {"info", {{"service", this->service}, {"version", "v1"}, {"zone", "a"}, {"slots", slots}}},
+        {"info",
+         {{"service", this->service}, {"version", "v1"}, {"zone", this->zone}, {"slots", slots}}},
         {"status",
          {{"state", this->draining ? "draining" : "ready"},
           {"sequence", sequence},
-          {"warmupLeftS", 0}}}};
+          {"warmupLeftS",
+           std::max(0.0, std::chrono::duration<double>(this->cold_until - wire::event_loop::now())
+                             .count())}}}};
     this->store.put("servers", this->id, entry.dump());
 }
 
 std::string keyed_server::load() const {
     return std::to_string(this->running) + "," + std::to_string(this->queue.size()) + "," +
-           std::to_string(slots);
+           std::to_string(slots) +
+           (this->uneven ? "," + std::to_string(this->work_time_percent()) : std::string());
+}
+
+/// Changes each tenth of a second.
+int keyed_server::work_time_percent() const {
+    constexpr std::array percents{100, 60, 100, 300, 150, 100, 60};
+    const auto tenth =
+        std::chrono::duration_cast<milliseconds>(wire::event_loop::now().time_since_epoch()) /
+        milliseconds{100};
+    return percents.at((static_cast<std::size_t>(tenth) + this->id.size() * 3) % percents.size());
+}
+
+void keyed_server::become_cold() {
+    this->cold_until = wire::event_loop::now() + warmup;
+    this->cold_arrivals.clear();
+    if (this->up()) {
+        this->publish();
+    }
 }
 
 void keyed_server::handle(const std::shared_ptr<wire::incoming>& request) {
@@ -295,6 +335,7 @@
         return;
     }
     this->check_leaving(next);
+    this->check_place(next);
     if (const auto broken = this->seen.statements().reached(next.request_id, this->life_name(),
                                                             wire::event_loop::now())) {
         this->seen.broken("server statements", *broken);
@@ -319,6 +360,32 @@
     }
 }
 
+/// Checks where the request may run, and what the server takes while it is cold.
+void keyed_server::check_place(const job& next) {
+    const time_point now = wire::event_loop::now();
+    const time_point evacuated = this->seen.evacuated_since(this->zone);
+    if (evacuated != time_point{} && next.request->arrived() - evacuated > evacuation_bound &&
+        !this->seen.disturbed_since(evacuated)) {
+        this->seen.broken("evacuation", "request " + next.request_id + " reached " + this->id);
+    }
+    if (this->zone == barred_zone && !next.keyed) {
+        this->seen.broken("regions", "request " + next.request_id + " reached " + this->id);
+    }
+    if (now >= this->cold_until) {
+        return;
+    }
+    this->cold_arrivals.push_back(now);
+    while (this->cold_arrivals.front() <= now - std::chrono::seconds(1)) {
+        this->cold_arrivals.pop_front();
+    }
+    if (this->cold_arrivals.size() > most_cold_arrivals) {
+        this->seen.broken("cold servers", this->id + " got " +
+                                              std::to_string(this->cold_arrivals.size()) +
+                                              " requests within a second");
+        this->cold_arrivals.clear();
+    }
+}
+
 void keyed_server::check_leaving(const job& next) const {
     // Health checks have no id.
     if (this->draining && !next.request_id.empty() &&
@@ -375,8 +442,9 @@
         return;
     }
     const bool is_long = this->random() % 40 == 0;
+    const int speed = this->uneven ? this->work_time_percent() : percent;
     const milliseconds work(static_cast<std::int64_t>(5 + this->random() % 40) *
-                            (is_long ? 10 : 1));
+                            (is_long ? 10 : 1) * speed / percent);
     this->loop.call_after(
         work, [this, next = std::move(next), own = this->life] { this->finish(next, own); });
 }
--- a/tests/soak/servers.h
+++ b/tests/soak/servers.h
@@ -44,6 +44,11 @@
         return this->without_end.contains(request);
     }
 
+    /// The store has accepted an evacuation of the zone, or its withdrawal.
+    void evacuation_changed(const std::string& zone, bool evacuated, time_point now);
+    /// Since when the zone is evacuated; the epoch if it is not.
+    time_point evacuated_since(const std::string& zone) const;
+
     /// What servers have said of themselves.
     statement_ledger& statements() { return this->stated; }
     crashing_requests& crashes() { return this->crashing; }
@@ -62,6 +67,7 @@
     time_point forgiven_since;
     time_point last_disturbed;
     std::set<std::string> without_end;
+    std::map<std::string, time_point> evacuated;
     statement_ledger stated;
     crashing_requests crashing;
     struct taking {
@@ -96,7 +102,7 @@
 class keyed_server {
 public:
     keyed_server(wire::event_loop& loop, row_store& store, observer& seen, std::mt19937_64& random,
-                 std::string id, std::string service,
+                 std::string id, std::string service, std::string zone,
                  const std::vector<std::unique_ptr<keyed_server>>& others);
 
     const std::string& name() const { return this->id; }
@@ -115,6 +121,12 @@
     void freeze(bool frozen);
     /// Requests may be held up on their way for a while, so pauses are not judged.
     void stop_judging_pauses();
+    /// Lets the server be cold after each start, and work at a speed that changes all the time and
+    /// that it states with its load.
+    void set_uneven() { this->uneven = true; }
+    /// The server becomes cold, without a start.
+    void become_cold();
+    const std::string& zone_name() const { return this->zone; }
     void set_defect(server_defect next) { this->defect = next; }
     /// Registers as the store is back from a copy, or lets the entry of the copy expire.
     void register_again();
@@ -140,6 +152,8 @@
     void remove_range(std::uint32_t first, std::uint32_t last);
     void check_others(const hold& granted, time_point now) const;
     void check_leaving(const job& next) const;
+    void check_place(const job& next);
+    int work_time_percent() const;
     void publish();
     /// Removes the entry after three heartbeat intervals if the server is still down.
     void expire_entry();
@@ -155,6 +169,7 @@
     std::mt19937_64& random;
     std::string id;
     std::string service;
+    std::string zone;
     const std::vector<std::unique_ptr<keyed_server>>& others;
     proxy way;
     std::unique_ptr<wire::server> server;
@@ -167,6 +182,10 @@
     bool frozen = false;
     time_point pauses_unjudged_until;
     server_defect defect = server_defect::none;
+    bool uneven = false;
+    time_point cold_until;
+    /// Arrivals of the last second while it is cold.
+    std::deque<time_point> cold_arrivals;
     std::vector<std::function<void()>> waiting_for_thaw;
     std::vector<hold> held;
     std::deque<job> queue;
