--- a/libs/gateway/src/evacuations.cpp
+++ b/libs/gateway/src/evacuations.cpp
@@ -27,12 +27,12 @@
                                     const std::vector<evacuation_change>& in_force,
                                     store_version version, time_point now) {
     std::vector<evacuation_change> changes = in_force;
-    for (const auto& [data_centre, known] : table.data_centres) {
-        const bool listed = std::any_of(in_force.begin(), in_force.end(), [&](const auto& other) {
-            return other.data_centre == data_centre;
-        });
-        if (known.evacuated && !listed) {
-            changes.push_back({data_centre, false, version});
+    for (const auto& entry : table.data_centres) {
+        const bool listed =
+            std::any_of(in_force.begin(), in_force.end(),
+                        [&entry](const auto& other) { return other.data_centre == entry.first; });
+        if (entry.second.evacuated && !listed) {
+            changes.push_back({entry.first, false, version});
         }
     }
     return apply(table, changes, now);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -216,6 +216,7 @@
         handlers.allowances_lent = [this](const std::vector<lent_allowance>& lent,
                                           time_point from) {
             std::vector<allowance_loan> loans;
+            loans.reserve(lent.size());
             for (const lent_allowance& loan : lent) {
                 loans.push_back({loan.server, loan.requests_per_s, from + loan.valid_for});
             }
