gateway: mend what a review of the new parts found

An independent reading of the parts found, each mended here: - A second attempt could go to an evacuated or cold server that was registered with the update that ended the first one: its place was filled in later. Test: second_attempt_knows_where_new_servers_are. - Late requests got no place if places became free one at a time. The places given are counted now. Requests whose evacuated owner could not hand over its keys are refused after 2.5 s. - One odd deadline made all requests of a route count as late for long. - Beside hosts of the earlier release, each of their reports was answered at once after the first evacuation. - A host that learned of a cold server late took it for cold from then on; the coordinator relays what is left, and waits for the other hosts' knowledge before it gives keys to a server that was cold. - Allowances are lent five times a second instead of twenty.

--- a/libs/dispatch/include/dispatch/server_choice.h
+++ b/libs/dispatch/include/dispatch/server_choice.h
@@ -6,15 +6,14 @@
 
 namespace greengagechute::dispatch {
 
-/// Draws servers for a request, from which the one with the lowest cost is used.
+/// Two different servers drawn at random, in proportion to their weights; the one with the lower
+/// cost is used for a request.
 ///
 /// The load that this answers: hundreds of hosts place requests on servers of uneven speed, and
 /// each meets a server too seldom to know its load. If all of them take the server that looks best,
 /// they flood the same few quick ones; if they draw at random, slow servers get as much as quick
 /// ones. Two servers are drawn, quick ones more often, so that hosts spread over all servers; the
 /// better of the two then follows what the host knows of their load.
-
-/// Two different servers drawn at random, in proportion to their weights.
 class weighted_pair {
 public:
     /// Offers a server. Each must be offered once.
@@ -29,7 +28,7 @@
         std::size_t server = 0;
         double arrival = 0;
     };
-    std::array<std::optional<entry>, 2> first;
+    std::array<std::optional<entry>, 2> earliest;
 };
 
 /// Whether hosts meet a server too seldom to know its load: more of them send to it than it runs
--- a/libs/dispatch/include/dispatch/waiting_order.h
+++ b/libs/dispatch/include/dispatch/waiting_order.h
@@ -29,7 +29,9 @@
 /// Requests that can keep their target go first, by priority, then by the latest time at which they
 /// can be sent for that, so that of equal ones the shorter work waits longer. Each fifth place goes
 /// to one that is late, so that none is starved. Late ones go by priority, then by arrival.
+/// @param places_given  number of places that were given before, of which each fifth went to a late
+///                      request
 std::vector<std::size_t> order_of_service(const std::vector<waiting_request>& waiting,
-                                          time_point now);
+                                          std::size_t places_given, time_point now);
 
 }  // namespace greengagechute::dispatch
--- a/libs/dispatch/src/waiting_order.cpp
+++ b/libs/dispatch/src/waiting_order.cpp
@@ -17,7 +17,7 @@
 }
 
 std::vector<std::size_t> order_of_service(const std::vector<waiting_request>& waiting,
-                                          time_point now) {
+                                          std::size_t places_given, time_point now) {
     std::vector<std::size_t> in_time;
     std::vector<std::size_t> late;
     for (std::size_t index = 0; index < waiting.size(); ++index) {
@@ -40,7 +40,8 @@
     auto next_in_time = in_time.begin();
     auto next_late = late.begin();
     while (next_in_time != in_time.end() || next_late != late.end()) {
-        const bool late_place = order.size() % late_place_interval == late_place_interval - 1;
+        const bool late_place =
+            (places_given + order.size()) % late_place_interval == late_place_interval - 1;
         const bool takes_late =
             next_late != late.end() && (late_place || next_in_time == in_time.end());
         order.push_back(takes_late ? *next_late++ : *next_in_time++);
--- a/libs/gateway/include/gateway/balancer.h
+++ b/libs/gateway/include/gateway/balancer.h
@@ -25,9 +25,6 @@
     int work_time_percent = usual_work_time_percent;
 };
 
-/// Weight of a new sample in the exponential moving averages, which cover about the last ten.
-inline constexpr double average_weight = 0.1;
-
 /// Parses a load, "running,waiting,slots" or "running,waiting,slots,work time". Further fields are
 /// ignored. Returns nullopt if one of the first four is malformed or out of range, or without
 /// slots.
--- a/libs/gateway/include/gateway/errors.h
+++ b/libs/gateway/include/gateway/errors.h
@@ -30,6 +30,7 @@
     server_replaced = 1518,
     region_not_allowed = 1519,
     data_centre_evacuated = 1520,
+    servers_cold = 1521,
 };
 
 /// Returns all error codes of the gateway library with their names and messages.
--- a/libs/gateway/include/gateway/evacuations.h
+++ b/libs/gateway/include/gateway/evacuations.h
@@ -34,7 +34,7 @@
 };
 
 /// Applies changes; skips those that are not newer than what is known of their data centre.
-/// @return  the data centres of which more is known now
+/// @return  the data centres whose evacuation has begun or ended
 std::vector<data_centre_id> apply(evacuation_table& table,
                                   const std::vector<evacuation_change>& changes, time_point now);
 
--- a/libs/gateway/src/balancer.cpp
+++ b/libs/gateway/src/balancer.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr double smoothing = average_weight;
+/// Weight of a new sample in the exponential moving averages, which cover about the last ten.
+constexpr double smoothing = 0.1;
 /// Bounds of the factor by which a reported work time changes the expected service time.
 constexpr double min_work_time_factor = 0.5;
 constexpr double max_work_time_factor = 3.0;
@@ -151,8 +152,8 @@
 
 void record_load(server_state& server, const reported_load& load, time_point now) {
     server.reported = load;
-    server.mean_work_time_percent +=
-        smoothing * (load.work_time_percent - server.mean_work_time_percent);
+    server.mean_work_time_percent += (server.has_reported ? smoothing : 1.0) *
+                                     (load.work_time_percent - server.mean_work_time_percent);
     server.reported_at = now;
     server.has_reported = true;
 }
--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -327,7 +327,7 @@
     this->managed.clear();
     this->reports.clear();
     this->host_addresses.clear();
-    this->host_places.clear();
+    this->host_data_centres.clear();
     this->cold_servers.clear();
     this->loans = dispatch::make_loan_book(this->settings.isolation_timeout, now);
     this->term_from_host = false;
@@ -428,7 +428,7 @@
             std::erase_if(this->host_addresses, [this](const auto& entry) {
                 return !this->reports.contains(entry.first);
             });
-            std::erase_if(this->host_places, [this](const auto& entry) {
+            std::erase_if(this->host_data_centres, [this](const auto& entry) {
                 return !this->reports.contains(entry.first);
             });
             expire(this->suspects, now);
--- a/libs/gateway/src/coordinator_allowances.cpp
+++ b/libs/gateway/src/coordinator_allowances.cpp
@@ -4,6 +4,13 @@
 
 namespace greengagechute::gateway {
 
+namespace {
+
+/// Loans last several times as long.
+constexpr milliseconds lending_interval{200};
+
+}  // namespace
+
 /// Empty if it is not known.
 region_id coordinator::state::region_of(const data_centre_id& data_centre) const {
     const auto found = this->settings.regions.find(data_centre);
@@ -11,18 +18,25 @@
 }
 
 /// End of the time for which the server takes only its allowance of requests; the epoch if servers
-/// of its service take any number.
+/// of its service take any number. Other hosts learn of it later than this one, and take the server
+/// for cold until as much later.
 time_point coordinator::state::cold_until(const server_entry& entry) const {
     const auto configured = this->config->services.find(entry.service);
     if (configured == this->config->services.end() || configured->second.cold_requests_per_s <= 0) {
         return {};
     }
-    return gateway::cold_until(this->evacuations, entry.data_centre,
-                               this->servers.cold_until(entry.life.id), configured->second.warmup);
+    const time_point until =
+        gateway::cold_until(this->evacuations, entry.data_centre,
+                            this->servers.cold_until(entry.life.id), configured->second.warmup);
+    return until == time_point{} ? until : until + this->settings.relay_max_age;
 }
 
 /// Lends the allowances of the servers that are cold now to hosts that report.
 void coordinator::state::lend_allowances(time_point now) {
+    if (now - this->last_lending < lending_interval) {
+        return;
+    }
+    this->last_lending = now;
     this->cold_servers.clear();
     for (const auto& [id, entry] : this->servers.servers()) {
         if (entry.draining || evacuated_since(this->evacuations, entry.data_centre) ||
@@ -39,8 +53,8 @@
     std::vector<dispatch::borrower> hosts{{this->settings.host, this->settings.data_centre,
                                            this->region_of(this->settings.data_centre)}};
     for (const auto& [host, reported] : this->reports) {
-        const auto place = this->host_places.find(host);
-        if (now - reported < report_max_age && place != this->host_places.end()) {
+        const auto place = this->host_data_centres.find(host);
+        if (now - reported < report_max_age && place != this->host_data_centres.end()) {
             hosts.push_back({host, place->second, this->region_of(place->second)});
         }
     }
--- a/libs/gateway/src/coordinator_reports.cpp
+++ b/libs/gateway/src/coordinator_reports.cpp
@@ -341,7 +341,7 @@
             answer.limits = std::move(limits);
         }
     }
-    if (report.evacuations < this->evacuations.version) {
+    if (this->lacks_evacuations(report)) {
         answer.evacuations = all_changes(this->evacuations);
     }
     answer.loans = this->allowances_of(report.host, now);
@@ -407,6 +407,12 @@
            ours != this->inherited_versions.end() && theirs->second == ours->second;
 }
 
+/// Whether the host knows less of evacuations than this one. Hosts of earlier releases, which state
+/// no data centre, do not know what an evacuation is.
+bool coordinator::state::lacks_evacuations(const host_report& report) const {
+    return !report.data_centre.value().empty() && report.evacuations < this->evacuations.version;
+}
+
 /// Whether this host's directory is recent enough to relay, and the reporting host has one.
 bool coordinator::state::can_relay_directory(const host_report& report, time_point now) const {
     return report.servers.number != 0 && this->confirmed.servers &&
@@ -418,8 +424,7 @@
     if (report.servers < this->announced_version && this->can_relay_directory(report, now)) {
         return true;
     }
-    if (has_news(this->suspects, report.suspects) ||
-        report.evacuations < this->evacuations.version) {
+    if (has_news(this->suspects, report.suspects) || this->lacks_evacuations(report)) {
         return true;
     }
     if ((this->has_limits() || report.limits != 0) && this->knows_limits(now) &&
@@ -464,7 +469,7 @@
             }
         }
         if (!report.data_centre.value().empty()) {
-            own.host_places[report.host] = report.data_centre;
+            own.host_data_centres[report.host] = report.data_centre;
         }
         own.apply_report(report, now);
     }
--- a/libs/gateway/src/coordinator_state.h
+++ b/libs/gateway/src/coordinator_state.h
@@ -119,10 +119,13 @@
     /// Time of the last report of each host, and the hosts' addresses.
     std::map<host_id, time_point> reports{};
     host_list host_addresses{};
-    std::map<host_id, data_centre_id> host_places{};
+    /// Of the hosts that report.
+    std::map<host_id, data_centre_id> host_data_centres{};
     evacuation_table evacuations{};
+    /// Servers that take only their allowance of requests, and which hosts hold the allowances.
     std::vector<dispatch::cold_server> cold_servers{};
     dispatch::loan_book loans{};
+    time_point last_lending{};
     /// Hosts to ask for the coordinator if neither it nor the store answers.
     std::vector<wire::endpoint> contacts{};
     bool asking_contacts = false;
@@ -224,6 +227,7 @@
     bool has_limits() const;
     int live_hosts(time_point now) const;
     limits_update current_limits() const;
+    bool lacks_evacuations(const host_report& report) const;
     region_id region_of(const data_centre_id& data_centre) const;
     time_point cold_until(const server_entry& entry) const;
     void lend_allowances(time_point now);
--- a/libs/gateway/src/directory.cpp
+++ b/libs/gateway/src/directory.cpp
@@ -77,8 +77,10 @@
 /// Whether the server says that it will be cold for longer than it was known to be: it has become
 /// cold again.
 bool directory::is_cold_anew(const server_change& change, time_point now) const {
-    return now + change.entry->warmup_left > this->cold_until(change.id) + max_arrival_difference &&
-           change.entry->warmup_left > milliseconds{0};
+    const auto known = this->last_changed_version.find(change.id);
+    return change.entry->warmup_left > milliseconds{0} &&
+           (known == this->last_changed_version.end() || known->second < change.version) &&
+           now + change.entry->warmup_left > this->cold_until(change.id) + max_arrival_difference;
 }
 
 void directory::note_warmup(const server_id& id, milliseconds left, time_point now) {
@@ -185,6 +187,10 @@
         if (!this->awaiting_reregistration.contains(id) &&
             this->last_changed_version.at(id) > version) {
             update.changes.push_back({id, entry, this->last_changed_version.at(id)});
+            // The time that the server has stated counts from the arrival of its entry here.
+            const time_point cold_end = this->cold_until(id);
+            update.changes.back().entry->warmup_left =
+                cold_end > now ? std::chrono::ceil<milliseconds>(cold_end - now) : milliseconds{0};
         }
     }
     for (auto gone = this->removed.upper_bound(version); gone != this->removed.end(); ++gone) {
--- a/libs/gateway/src/errors.cpp
+++ b/libs/gateway/src/errors.cpp
@@ -30,6 +30,8 @@
     error_entry{1519, "region_not_allowed", "no server is in a region where the request may run"},
     error_entry{1520, "data_centre_evacuated",
                 "all servers that may run the request are in evacuated data centres"},
+    error_entry{1521, "servers_cold",
+                "all servers that may run the request are cold for too long for it"},
 };
 
 }  // namespace
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -28,14 +28,18 @@
 /// Notes the deadline that a caller states. Returns for how many milliseconds the caller has
 /// already repeated the request: callers that repeat one state what is left of their deadline.
 double note_deadline(route_facts& facts, milliseconds stated) {
-    constexpr double forgotten_per_request = 0.001;
-    const auto ms = static_cast<double>(stated.count());
+    constexpr double forgotten_per_request = 0.02;
+    constexpr milliseconds longest_believed{60'000};
+    if (stated <= milliseconds{0}) {
+        return 0;
+    }
+    const auto ms = static_cast<double>(std::min(stated, longest_believed).count());
     if (ms >= facts.deadline_ms) {
         facts.deadline_ms = ms;
     } else {
         facts.deadline_ms -= forgotten_per_request * (facts.deadline_ms - ms);
     }
-    return stated > milliseconds{0} ? std::max(0.0, facts.deadline_ms - ms) : 0;
+    return std::max(0.0, facts.deadline_ms - ms);
 }
 
 }  // namespace
@@ -227,11 +231,14 @@
         server.entry = entry;
         server.registration_lapsed = servers.awaits_reregistration(id);
     }
+    // Attempts that end are repeated at once, and need to know where the new servers are.
+    for (auto& [id, service] : impl.services) {
+        impl.update_places(id, service, &servers);
+    }
     for (const ranges::server_instance& ended : replaced) {
         impl.end_attempts_at(ended, now);
     }
     for (auto& [id, service] : impl.services) {
-        impl.update_places(id, service, &servers);
         impl.schedule_dispatch(id, milliseconds{0});
     }
 }
@@ -468,7 +475,7 @@
         this->refuse(active, gateway_errc::no_owner, now);
         return;
     }
-    if (this->refuse_if_barred(active, pool, now)) {
+    if (this->refuse_if_barred(active, pool, now) || this->refuse_if_cold(active, pool, now)) {
         return;
     }
     if (this->refuse_if_paused(active, pool, now)) {
--- a/libs/gateway/src/front_answers.cpp
+++ b/libs/gateway/src/front_answers.cpp
@@ -31,8 +31,8 @@
 constexpr milliseconds full_owner_retry_delay{40};
 /// Minimum Retry-After of requests for such a key, before jitter.
 constexpr milliseconds unowned_retry_after{400};
-/// Minimum Retry-After of requests that no server may run, before jitter. Only a change by an
-/// operator lets them run.
+/// Minimum Retry-After of requests that no server may run, before jitter. They can run after a
+/// change by an operator, or when a server of an allowed region comes back.
 constexpr milliseconds barred_retry_after{1'000};
 
 }  // namespace
@@ -404,8 +404,9 @@
         return;
     }
     service_pool& pool = this->service_of(active->service, now);
-    const bool barred =
-        reason == gateway_errc::region_not_allowed || reason == gateway_errc::data_centre_evacuated;
+    const bool barred = reason == gateway_errc::region_not_allowed ||
+                        reason == gateway_errc::data_centre_evacuated ||
+                        reason == gateway_errc::servers_cold;
     const milliseconds min_delay = barred                                ? barred_retry_after
                                    : is_long_unowned(*active, pool, now) ? unowned_retry_after
                                                                          : min_retry_after;
--- a/libs/gateway/src/front_dispatch.cpp
+++ b/libs/gateway/src/front_dispatch.cpp
@@ -12,9 +12,6 @@
 /// While a range moves, a single request at a time is sent to its owner as a probe. Interval after
 /// which the next probe may be sent.
 constexpr milliseconds moved_probe_interval{150};
-/// An attempt is made only if at least this fraction of the average latency is left before the
-/// deadline.
-constexpr double min_useful_time_ratio = 0.5;
 /// While this process ends, a request is sent only if this multiple of the average latency is left.
 /// Most requests take less.
 constexpr double min_shutdown_time_ratio = 2.0;
@@ -97,13 +94,19 @@
     return rate > 0 ? (ahead + 1) * latency / rate : 0;
 }
 
-/// Whether the request's key has had no owner for longer than a move can take.
+/// Whether the request's key has had no owner, or one in an evacuated data centre, for longer than
+/// a move can take.
 bool front::state::is_long_unowned(const active_request& active, const service_pool& pool,
                                    time_point now) {
     if (!active.divided || pool.owners.ranges.empty()) {
         return false;
     }
     const ranges::range_owner& range = pool.owners.ranges[range_index(pool.owners, active.key)];
+    const auto owner = pool.servers.find(range.owner.id);
+    if (owner != pool.servers.end() && owner->second.place.evacuated_since &&
+        now - *owner->second.place.evacuated_since > max_move_duration) {
+        return true;
+    }
     const auto since = pool.unowned_since.find(range.keys.first);
     return since != pool.unowned_since.end() && now - since->second > max_move_duration;
 }
@@ -352,7 +355,7 @@
         facts.push_back({active.matched_route->priority, active.arrived, active.target_by,
                          milliseconds(std::llround(active.facts->latency_ms))});
     }
-    for (const std::size_t index : dispatch::order_of_service(facts, now)) {
+    for (const std::size_t index : dispatch::order_of_service(facts, pool.places_given, now)) {
         const auto next = queue[index];
         const request_handle active = *next;
         if (active->done) {
@@ -371,6 +374,7 @@
         const server_choice found = this->choose_server(*active, pool, now);
         if (found.server != nullptr) {
             pool.waiting.erase(next);
+            ++pool.places_given;
             this->send(active, *found.server, now);
             continue;
         }
@@ -379,7 +383,7 @@
             this->refuse(active, gateway_errc::no_owner, now);
             continue;
         }
-        if (this->refuse_if_barred(active, pool, now) ||
+        if (this->refuse_if_barred(active, pool, now) || this->refuse_if_cold(active, pool, now) ||
             this->refuse_if_paused(active, pool, now)) {
             pool.waiting.erase(next);
             continue;
--- a/libs/gateway/src/front_placement.cpp
+++ b/libs/gateway/src/front_placement.cpp
@@ -161,8 +161,40 @@
     return loan != this->loans.end() && dispatch::has_credit(loan->second, now);
 }
 
-/// Why no server may run the request, whatever its load; empty if one may, if none is known, or if
-/// the key is about to move to one.
+/// Refuses the request if all servers that may run it are cold for too long, and this host holds
+/// the allowance of none. Returns whether it was refused.
+bool front::state::refuse_if_cold(const request_handle& active, const service_pool& pool,
+                                  time_point now) {
+    if (active->divided) {
+        // Keys move from a cold owner to a warm one.
+        return false;
+    }
+    std::optional<time_point> warm_at;
+    for (const auto& [id, server] : pool.servers) {
+        if (server.entry.draining || server.replaced || server.notices.leaving_since) {
+            continue;
+        }
+        const dispatch::verdict found =
+            dispatch::check(server.place, active->matched_route->allowed_regions, now);
+        if (found == dispatch::verdict::eligible ||
+            (found == dispatch::verdict::cold && this->loans.contains(server.entry.life))) {
+            return false;
+        }
+        if (found == dispatch::verdict::cold) {
+            warm_at = std::min(warm_at.value_or(server.place.cold_until), server.place.cold_until);
+        }
+    }
+    if (!warm_at ||
+        to_ms(active->answer_by - *warm_at) >= pool.latency_ms * min_useful_time_ratio) {
+        return false;
+    }
+    this->refuse(active, gateway_errc::servers_cold, now);
+    return true;
+}
+
+/// Why no server may run the request, whatever its load; empty if one may or if none is known. A
+/// request whose key has an owner outside its regions is refused: its keys move there only if all
+/// routes of the service allow it.
 std::optional<gateway_errc> front::state::barred_by(const active_request& active,
                                                     const service_pool& pool,
                                                     time_point now) const {
--- a/libs/gateway/src/front_state.h
+++ b/libs/gateway/src/front_state.h
@@ -43,6 +43,9 @@
 
 /// How long a draining owner still receives requests. A draining server serves for at least 2 s.
 inline constexpr milliseconds max_draining_owner_use{1'500};
+/// An attempt is made only if at least this fraction of the average latency is left before the
+/// deadline.
+inline constexpr double min_useful_time_ratio = 0.5;
 /// Delay before retrying a server to which no connection could be established.
 inline constexpr milliseconds unreachable_retry_delay{80};
 
@@ -205,6 +208,8 @@
     /// By the name of the route.
     std::unordered_map<std::string, route_facts> routes;
     std::list<request_handle> waiting;
+    /// Number of waiting requests that were sent.
+    std::size_t places_given = 0;
     wire::timer_id dispatch_timer = 0;
     time_point dispatch_at;
     admission::retry_budget retries;
@@ -285,6 +290,7 @@
     bool has_loan(const server_state& server, time_point now) const;
     std::optional<gateway_errc> barred_by(const active_request& active, const service_pool& pool,
                                           time_point now) const;
+    bool refuse_if_cold(const request_handle& active, const service_pool& pool, time_point now);
     bool refuse_if_barred(const request_handle& active, const service_pool& pool, time_point now);
     wire::response make_failure(const active_request& active, int status);
     void accept(const std::shared_ptr<wire::incoming>& request);
--- a/libs/gateway/tests/fakes.h
+++ b/libs/gateway/tests/fakes.h
@@ -85,6 +85,14 @@
         this->stored[{table, key}] = {table, key, value, this->version};
     }
 
+    /// Removes a row; watches are told.
+    void erase(const std::string& table, const std::string& key) {
+        ++this->version.number;
+        stored_row& row = this->stored[{table, key}];
+        row = {table, key, "", this->version};
+        row.removed = true;
+    }
+
     /// Keeps the present content for `restore`.
     void take_copy() {
         this->copy = this->stored;
--- a/libs/gateway/tests/host_test.cpp
+++ b/libs/gateway/tests/host_test.cpp
@@ -379,6 +379,16 @@
         test.run_for(100ms);
         BOOST_TEST(test.statuses["after"] == 503);
         BOOST_TEST(!test.run_requests.contains("after"));
+        if (from_store) {
+            test.store.erase(catalogue_table, "empty/dc");
+        } else {
+            test.answer.evacuations = {
+                {gg::data_centre_id("dc"), false, gateway::testing::at(1'001)}};
+        }
+        test.run_for(500ms);
+        test.post(caller, "back");
+        test.run_for(100ms);
+        BOOST_TEST(test.statuses["back"] == 200);
     }
 }
 
--- a/libs/gateway/tests/places_test.cpp
+++ b/libs/gateway/tests/places_test.cpp
@@ -161,6 +161,41 @@
     BOOST_CHECK(warm < 500ms);
 }
 
+// Guards against a second attempt that goes to an evacuated data centre, because the server there
+// was registered with the same update that showed the end of the first one.
+BOOST_AUTO_TEST_CASE(second_attempt_knows_where_new_servers_are) {
+    front_fixture test;
+    fake_server silent(test.loop, [](const auto&) {});
+    fake_server evacuated(test.loop, serves());
+    test.add("s1", "plain", silent.address());
+    test.evacuate("dc2", true);
+    test.loop.call_after(100ms, [&test, &evacuated] {
+        const time_point now = wire::event_loop::now();
+        server_entry again = *test.servers.find(server_id("s1"));
+        again.life.start_time_ms = 2;
+        server_entry added = again;
+        added.life = {server_id("s2"), 1};
+        added.address = evacuated.address();
+        added.data_centre = data_centre_id("dc2");
+        test.servers.apply({{server_id("s1"), again, at(2)}, {server_id("s2"), added, at(3)}},
+                           at(3), now);
+        test.front->set_servers(test.servers, now, now);
+    });
+    BOOST_TEST(test.ask("GET", "/safe/x", "700").message.code != 200);
+    BOOST_TEST(evacuated.requests == 0);
+}
+
+// Guards against holding a request until its deadline although all servers stay cold for longer.
+BOOST_AUTO_TEST_CASE(request_that_cannot_wait_for_cold_servers_is_refused) {
+    front_fixture test;
+    fake_server cold(test.loop, serves());
+    test.add("s1", "frail", cold.address(), "dc", 3s);
+    const milliseconds took =
+        time_of([&test] { BOOST_TEST(test.ask("GET", "/frail/x", "1500").message.code == 503); });
+    BOOST_CHECK(took < 1s);
+    BOOST_TEST(cold.requests == 0);
+}
+
 // Guards against flooding servers that an evacuation has left cold, before their entries say so.
 BOOST_AUTO_TEST_CASE(servers_of_a_returned_data_centre_count_as_cold) {
     front_fixture test;
