--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -10,6 +10,7 @@
 #include <condition_variable>
 #include <functional>
 #include <memory>
+#include <random>
 #include <set>
 
 namespace review {
@@ -194,6 +195,13 @@
                       {"status", {{"state", "ready"}, {"sequence", 1}, {"warmupLeftS", 0}}}});
     }
 
+    /// Answers `path` with a failure of its own.
+    void fail_on(const std::string& path) { this->failing_path = path; }
+
+    /// For 5 of every 8 seconds, before this share of its further answers on a connection, the server sends the
+    /// beginning of a second copy of its last answer there, which breaks off at a random byte.
+    void send_partial_copies(double share) { this->copy_share = share; }
+
     /// Whether the server has begun to run the request.
     bool has_run(const std::string& request) {
         const std::lock_guard<std::mutex> lock(this->mutex);
@@ -204,6 +212,8 @@
     void serve(int accepted) {
         connection peer(accepted);
         message asked;
+        std::string last_answer;
+        std::mt19937 random(static_cast<unsigned>(peer.native()) + std::hash<std::string>()(this->id));
         while (peer.read(asked)) {
             const std::size_t space = asked.first_line.find(' ');
             const std::string path = asked.first_line.substr(space + 1, asked.first_line.rfind(' ') - space - 1);
@@ -223,8 +233,27 @@
             this->log.add("server " + this->id + " runs " + request + " " + path + " body " +
                           std::to_string(asked.body_size));
             sleep_ms(this->work_of(path));
-            if (!peer.send(response("200 OK", {{"Request-Id", request}, {"Response-Signature", this->id + "." + request}},
-                                    std::string(this->size_of(path), 'x')))) {
+            const bool fails = !this->failing_path.empty() && path == this->failing_path;
+            std::string copy;
+            constexpr std::int64_t period_ms = 8'000;
+            constexpr std::int64_t faulty_ms = 5'000;
+            if (!last_answer.empty() && now_ms() % period_ms < faulty_ms &&
+                std::uniform_real_distribution<double>(0, 1)(random) < this->copy_share) {
+                copy = last_answer.substr(
+                    0, std::uniform_int_distribution<std::size_t>(1, last_answer.size() - 1)(random));
+                this->log.add("server " + this->id + " sends " + std::to_string(copy.size()) + " of " +
+                              std::to_string(last_answer.size()) + " bytes of its last answer again before the answer to " +
+                              request);
+            }
+            if (fails) {
+                this->log.add("server " + this->id + " answers 500 to " + request);
+            }
+            last_answer = response(fails ? "500 Internal Server Error" : "200 OK",
+                                   {{"Server-Load", "1,0,24"},
+                                    {"Request-Id", request},
+                                    {"Response-Signature", this->id + "." + request}},
+                                   std::string(this->size_of(path), 'x'));
+            if (!peer.send(copy + last_answer)) {
                 return;
             }
         }
@@ -236,6 +265,8 @@
     std::function<int(const std::string&)> work_of;
     std::mutex mutex;
     std::set<std::string> run;
+    std::string failing_path;
+    double copy_share = 0;
 };
 
 /// A machine that runs the gateway. As DEPLOY.md has it, a process that exceeds `memoryMb` is killed, and one that
@@ -243,7 +274,7 @@
 class machine {
 public:
     machine(record& notes, std::string program_path, std::string folder, std::string machine_name, int store_port,
-            int memory)
+            int memory, double cpu_share = 0.2, int link_mbps = 1'000)
         : log(notes), program(std::move(program_path)), name(std::move(machine_name)), memory_mb(memory) {
         this->front = free_port();
         this->ready = free_port();
@@ -254,8 +285,8 @@
         file << "nodeName=" << this->name << "\nrole=gateway\nmachineClass=front\nserves=front\nip=127.0.0.1\n"
              << "zone=zone-a\nregion=region-a\nzones.zone-a=region-a\nlisten.front=127.0.0.1:" << this->front
              << "\nlisten.readyAddr=127.0.0.1:" << this->ready << "\ninternalPorts=" << peers << "," << peers
-             << "\nbootstrap=true\nlossCounts=false\nlimits.cpuShare=0.2\nlimits.cores=1\nlimits.memoryMb=" << memory
-             << "\nlimits.maxFds=4100\nlimits.linkMbps=1000.0\nlimits.diskMb=0\ndiscovery=platform\nentry=vip\n"
+             << "\nbootstrap=true\nlossCounts=false\nlimits.cpuShare=" << cpu_share << "\nlimits.cores=1\nlimits.memoryMb=" << memory
+             << "\nlimits.maxFds=4100\nlimits.linkMbps=" << link_mbps << ".0\nlimits.diskMb=0\ndiscovery=platform\nentry=vip\n"
              << "heartbeatS=0.87\nbounds.drainS=2\nbounds.graceS=6\nbounds.lossSlackS=0.2\nbounds.configApplyS=2\n"
              << "bounds.retryBudgetRatio=0.2\nbounds.budgetWindowS=10\nbounds.budgetSlack=62\nbounds.holdMaxS=10\n"
              << "grants=per_call\nplatform.address=127.0.0.1:" << store_port
