--- a/review/standins-2/partial_copies.cpp
+++ b/review/standins-2/partial_copies.cc
@@ -1,6 +1,6 @@
 // Faulty servers send the beginning of a second copy of their last answer before they answer the next request of a
 // connection. Usage: partial_copies PROGRAM FOLDER RECORD TROUBLE
-#include "platform.h"
+#include "platform.hh"
 
 using namespace review;
 
--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.hh
@@ -2,7 +2,7 @@
 // DEPLOY.md. All addresses are loopback addresses.
 #pragma once
 
-#include "http.h"
+#include "http.hh"
 
 #include <nlohmann/json.hpp>
 
--- a/review/standins-2/slow_readers.cpp
+++ b/review/standins-2/slow_readers.cc
@@ -1,6 +1,6 @@
 // Callers fetch large answers and read them slowly, while others send credits on kept connections.
 // Usage: slow_readers PROGRAM FOLDER RECORD TROUBLE
-#include "platform.h"
+#include "platform.hh"
 
 using namespace review;
 
--- a/review/standins-2/uploads.cpp
+++ b/review/standins-2/uploads.cc
@@ -1,6 +1,6 @@
 // Two callers upload bodies that the configuration allows, at once, while others send credits on kept connections.
 // Usage: uploads PROGRAM FOLDER RECORD TROUBLE
-#include "platform.h"
+#include "platform.hh"
 
 using namespace review;
 
