Bound the time for which a replaced coordinator grants leases

Cause: a coordinator that lacks the store went on renewing leases as long as any host reported to it, and hosts of its own side of a partition always do. Its successor took all leases of earlier terms for ended 4.13 s after its takeover.

Change: a coordinator grants only with proof, at most 1 s old, that it has not been replaced: the store named it, or more than half of the members followed it. The members are kept in the store, and the successor counts the same ones before it takes keys of servers that it does not reach; two majorities share a host, and a host never goes back to an earlier term. A host proves that it follows by a stamp that it returns. The longer leases of an outage need hosts that know of the outage, so that a successor need not always wait for them. The decisions are in the new library leadership. A coordinator that may not grant stops routing to owners whose leases have expired, and asks other hosts for its successor.

--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -2,7 +2,7 @@
 
 # The layer of each library. A library may link only to lower layers, and to the same-layer libraries named in GG_SAME_LAYER_<name>.
 set(GG_LAYER_base 0)
-foreach(name IN ITEMS settings telemetry placement ownership ranges release membership admission dispatch)
+foreach(name IN ITEMS settings telemetry placement ownership ranges leadership release membership admission dispatch)
   set(GG_LAYER_${name} 1)
 endforeach()
 foreach(name IN ITEMS http peer platform upstream wire)
--- a/libs/gateway/include/gateway/coordinator.h
+++ b/libs/gateway/include/gateway/coordinator.h
@@ -10,6 +10,7 @@
 #include "gateway/key_limits.h"
 #include "gateway/store.h"
 #include "gateway/suspect_requests.h"
+#include "leadership/grant_authority.h"
 #include "ranges/key_load.h"
 #include "ranges/lease_manager.h"
 #include "telemetry/logger.h"
@@ -76,9 +77,13 @@
     /// Time for which a new coordinator learns the load before it ends limits of the former one.
     milliseconds limit_learning_time{1'500};
     milliseconds order_timeout{600};
-    /// A coordinator that has had neither access to the store nor reports from other hosts for this
-    /// long stops renewing leases, as another host may have taken over.
+    /// Half of it is the longest time for which a coordinator may be suspended, or lack the store
+    /// while others reach it, without being replaced. A former coordinator may lend allowances for
+    /// this long, and grant leases for this long after the store came back from a copy.
     milliseconds isolation_timeout{2'000};
+    leadership::authority_settings authority;
+    /// Interval at which a coordinator that most hosts do not follow asks the store for the term.
+    milliseconds term_check_interval{250};
     /// Delay before a host that knows the term only from a restored store takes over. The
     /// coordinator before the restore, if it is alive, writes its term again first.
     milliseconds restored_takeover_delay{1'000};
@@ -123,8 +128,13 @@
     /// Version of each service's owner table that the host has, as numbered by the coordinator; 0
     /// if it has none.
     std::map<service_id, std::uint64_t> owners;
-    /// Term to which the versions in `owners` belong.
+    /// Term of the last answer, to which the versions in `owners` belong.
     std::uint64_t term = 0;
+    /// `report_answer::stamp` of the last answer; 0 if there is none.
+    std::uint64_t answer_stamp = 0;
+    /// A coordinator may have granted longer leases because this host knew of an outage of the
+    /// store, see `leadership::was_told_of_outage`.
+    bool told_of_outage = false;
     /// Store version up to which the host's directory is complete; its number is 0 if
     /// it has no directory.
     store_version servers;
@@ -168,6 +178,9 @@
     /// Number of hosts that have reported lately, including this one.
     int hosts = 1;
     std::uint64_t term = 0;
+    /// When the answer was made, for the next report; 0 in answers of earlier releases. Proves to
+    /// the coordinator that the host still followed it then.
+    std::uint64_t stamp = 0;
     /// All that the coordinator knows of evacuations; empty if the host knows as much.
     std::vector<evacuation_change> evacuations;
     /// Allowances of cold servers that this host holds.
@@ -197,11 +210,12 @@
 bool decode(std::string_view text, stored_row& row);
 
 /// Tables in the store: the coordinator's term, which all hosts watch, and what only the
-/// coordinator reads and writes: the owners of keys, and the requests that are refused because
-/// servers ended under them.
+/// coordinator reads and writes: the owners of keys, the requests that are refused because servers
+/// ended under them, and the hosts that are counted to tell which coordinator most of them follow.
 inline constexpr std::string_view term_table = "greengagechute-term";
 inline constexpr std::string_view owners_table = "greengagechute-owners";
 inline constexpr std::string_view quarantine_table = "greengagechute-quarantine";
+inline constexpr std::string_view members_table = "greengagechute-members";
 
 /// Targets of requests between hosts.
 inline constexpr std::string_view report_target = "/coordination/report";
--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -51,6 +51,7 @@
 }
 
 void coordinator::start() {
+    this->implementation->started_at = wire::event_loop::now();
     this->implementation->schedule_report(milliseconds{0});
 }
 
@@ -81,6 +82,13 @@
     this->store_era = std::max(era, this->store_era.value_or(era));
     if (raised) {
         this->needs_reassertion = this->leading;
+        if (this->leading) {
+            // A successor would count the members of the copy. Calls of the earlier era have no
+            // effect any more.
+            this->authority.members.clear();
+            this->authority.proposed.reset();
+            this->read_members();
+        }
         telemetry::log_warning(this->log, "store_era_changed",
                                {{"era", era}, {"coordinating", this->leading}});
         this->handlers.store_era_changed(era);
@@ -298,15 +306,16 @@
 /// Reads back whether this host holds the term, and the owners: once the term is written, no other
 /// host can change them, as each commit of owners checks the term's version.
 void coordinator::state::confirm_takeover(const term_content& new_term) {
-    this->read_rows(call_connection::fresh, [this, new_term](bool done) {
-        if (done && this->term && this->term->host == this->identity &&
-            this->term->number == new_term.number && !this->resigned) {
-            this->taking_over = false;
-            this->start_coordinating(new_term.number);
-        } else {
-            this->end_takeover();
-        }
-    });
+    this->read_rows(call_connection::fresh,
+                    [this, new_term, asked_at = wire::event_loop::now()](bool done) {
+                        if (done && this->term && this->term->host == this->identity &&
+                            this->term->number == new_term.number && !this->resigned) {
+                            this->taking_over = false;
+                            this->start_coordinating(new_term.number, asked_at);
+                        } else {
+                            this->end_takeover();
+                        }
+                    });
 }
 
 /// Ends a takeover that has failed.
@@ -315,7 +324,8 @@
     this->answer_held_reports(true, wire::event_loop::now());
 }
 
-void coordinator::state::start_coordinating(std::uint64_t number) {
+/// @param confirmed_at  when the store was asked for the term that it then named this host for
+void coordinator::state::start_coordinating(std::uint64_t number, time_point confirmed_at) {
     if (this->leading) {
         return;
     }
@@ -324,6 +334,7 @@
     this->inherited_owners = this->known_owners;
     this->inherited_versions = std::exchange(this->known_versions, {});
     this->inherited_term = std::exchange(this->known_term, 0);
+    this->known_stamp = 0;
     this->managed.clear();
     this->reports.clear();
     this->host_addresses.clear();
@@ -341,6 +352,7 @@
     this->owners_verified = !this->term->owners_era || this->term->owners_era == this->store_era;
     telemetry::log_info(this->log, "coordinating",
                         {{"term", number}, {"owners_verified", this->owners_verified}});
+    this->begin_term(confirmed_at, now);
     this->quarantine_outdated = false;
     this->read_quarantine();
     this->tick();
@@ -359,17 +371,6 @@
     }
 }
 
-bool coordinator::state::is_isolated(time_point now) const {
-    if (now - this->last_store_contact < this->settings.isolation_timeout ||
-        (this->store_ok && this->store_reachable)) {
-        return false;
-    }
-    return !this->reports.empty() &&
-           std::all_of(this->reports.begin(), this->reports.end(), [this, now](const auto& entry) {
-               return now - entry.second > this->settings.isolation_timeout;
-           });
-}
-
 void coordinator::state::tick() {
     if (!this->leading) {
         return;
@@ -401,45 +402,60 @@
     if (!this->leading) {
         return;
     }
-    if (!this->is_isolated(now) && this->config && this->servers.loaded()) {
-        for (const auto& [id, service] : this->config->services) {
-            if (service.divided) {
-                this->update_leases(id, now);
-            }
-        }
-        this->lend_allowances(now);
-        this->apply_report(this->handlers.collect_report(), now);
-        if (now - this->last_limits >= this->settings.limit_interval) {
-            this->last_limits = now;
-            this->update_limits(now);
+    this->update_authority(now);
+    if (!this->granting) {
+        this->stop_routing_expired(now);
+    } else if (this->config && this->servers.loaded()) {
+        this->manage_leases(now);
+    }
+    this->loop.call_after(this->settings.tick_interval, [this] { this->tick(); });
+}
+
+/// Does the regular work of a coordinator that may grant leases.
+void coordinator::state::manage_leases(time_point now) {
+    for (const auto& [id, service] : this->config->services) {
+        if (service.divided) {
+            this->update_leases(id, now);
         }
-        if (now - this->last_balance >= this->settings.balance_interval) {
-            this->last_balance = now;
-            for (auto& [id, service] : this->managed) {
-                service.load.decay(now);
-                if (!service.committing && this->store_ok && !this->needs_reassertion) {
-                    service.keeper.balance(service.load, now);
-                }
-            }
-            std::erase_if(this->reports, [now](const auto& entry) {
-                constexpr int forget_after = 4;
-                return now - entry.second > forget_after * report_max_age;
-            });
-            std::erase_if(this->host_addresses, [this](const auto& entry) {
-                return !this->reports.contains(entry.first);
-            });
-            std::erase_if(this->host_data_centres, [this](const auto& entry) {
-                return !this->reports.contains(entry.first);
-            });
-            expire(this->suspects, now);
-            this->store_quarantine(now);
-            std::erase_if(this->leaving, [now](const auto& entry) {
-                return now - entry.second > leaving_retention;
-            });
-            this->handlers.hosts_counted(this->live_hosts(now));
+    }
+    this->lend_allowances(now);
+    this->apply_report(this->handlers.collect_report(), now);
+    if (now - this->last_limits >= this->settings.limit_interval) {
+        this->last_limits = now;
+        this->update_limits(now);
+    }
+    if (now - this->last_balance < this->settings.balance_interval) {
+        return;
+    }
+    this->last_balance = now;
+    for (auto& [id, service] : this->managed) {
+        service.load.decay(now);
+        if (!service.committing && this->store_ok && !this->needs_reassertion) {
+            service.keeper.balance(service.load, now);
         }
     }
-    this->loop.call_after(this->settings.tick_interval, [this] { this->tick(); });
+    std::erase_if(this->reports, [now](const auto& entry) {
+        constexpr int forget_after = 4;
+        return now - entry.second > forget_after * report_max_age;
+    });
+    std::erase_if(this->host_addresses,
+                  [this](const auto& entry) { return !this->reports.contains(entry.first); });
+    std::erase_if(this->host_data_centres,
+                  [this](const auto& entry) { return !this->reports.contains(entry.first); });
+    this->store_members(now);
+    expire(this->suspects, now);
+    this->store_quarantine(now);
+    std::erase_if(this->leaving,
+                  [now](const auto& entry) { return now - entry.second > leaving_retention; });
+    this->handlers.hosts_counted(this->live_hosts(now));
+}
+
+/// Tells all hosts which owners have lost their leases, as this coordinator may not renew them.
+void coordinator::state::stop_routing_expired(time_point now) {
+    for (auto& [service, own] : this->managed) {
+        own.keeper.stop_routing_expired(now);
+        this->publish_routes(service, now);
+    }
 }
 
 /// Whether most of the live hosts report. Otherwise another host may have taken over in the time
--- a/libs/gateway/src/coordinator_leases.cpp
+++ b/libs/gateway/src/coordinator_leases.cpp
@@ -260,8 +260,8 @@
         candidates[index].accepts = selected[index];
     }
     own.keeper.set_candidates(candidates, now);
-    own.keeper.set_store_unavailable(!this->store_ok || !this->store_reachable ||
-                                     this->needs_reassertion);
+    own.keeper.set_predecessor_leases_end(this->predecessor_leases_end());
+    own.keeper.set_outage_leases(leadership::may_grant_outage_leases(this->authority, now));
     for (const ranges::lease_command& what : own.keeper.due_commands(now)) {
         this->send(service, what);
     }
--- a/libs/gateway/src/coordinator_reports.cpp
+++ b/libs/gateway/src/coordinator_reports.cpp
@@ -65,6 +65,8 @@
     content.evacuations = this->evacuations.version;
     content.contacts = hash_of(this->contacts);
     content.term = this->known_term;
+    content.answer_stamp = this->known_stamp;
+    content.told_of_outage = this->told_of_outage(wire::event_loop::now());
     content.at_once = this->missed_reports > 0;
     content.owners = this->known_versions;
     content.servers = this->servers.version();
@@ -133,6 +135,10 @@
         this->known_term = answer.term;
         this->known_versions.clear();
     }
+    this->known_stamp = answer.stamp;
+    if (!answer.has_store) {
+        this->told_of_outage_at = now;
+    }
     if (!answer.evacuations.empty()) {
         this->handlers.evacuations_relayed(answer.evacuations);
     }
@@ -216,7 +222,7 @@
     if (next == 0 && this->asking_contacts) {
         return;
     }
-    this->asking_contacts = next < this->contacts.size() && !this->leading && !this->resigned;
+    this->asking_contacts = next < this->contacts.size() && !this->may_act() && !this->resigned;
     if (!this->asking_contacts) {
         return;
     }
@@ -247,11 +253,12 @@
 void coordinator::state::on_contact_answer(const term_content& read) {
     const std::uint64_t known = this->term ? this->term->number : 0;
     const std::uint64_t era = read.era.value_or(0);
-    if (this->leading || this->resigned || !read.address || read.host.empty() ||
+    if (this->may_act() || this->resigned || !read.address || read.host.empty() ||
         read.host == this->identity ||
         std::pair(era, read.number) <= std::pair(this->term_era(), known)) {
         return;
     }
+    this->step_down("another host knows a later term");
     telemetry::log_info(this->log, "coordinator_named_by_host",
                         {{"term", read.number}, {"known_term", known}, {"era", era}});
     this->term = read;
@@ -329,6 +336,10 @@
         return answer;
     }
     answer.term = this->term->number;
+    // Hosts that get a stamp from within an outage must know of the outage.
+    answer.has_store = answer.has_store && !this->authority.outage_since;
+    answer.stamp = static_cast<std::uint64_t>(
+        std::chrono::floor<milliseconds>(now - this->coordinating_since).count());
     const auto age_of = [now](std::optional<time_point> when) {
         return when ? std::optional(std::chrono::ceil<milliseconds>(now - *when)) : std::nullopt;
     };
@@ -460,6 +471,7 @@
     state& own = *this->implementation;
     if (own.leading) {
         own.reports[report.host] = now;
+        own.note_follower(report, now);
         if (report.address) {
             const auto place = find_host(own.host_addresses, report.host);
             if (place != own.host_addresses.end() && place->first == report.host) {
--- a/libs/gateway/src/coordinator_state.h
+++ b/libs/gateway/src/coordinator_state.h
@@ -2,6 +2,8 @@
 
 #include "dispatch/cold_allowance.h"
 #include "gateway/coordinator.h"
+#include "leadership/grant_authority.h"
+#include "leadership/succession.h"
 #include "ranges/ownership_gap.h"
 #include "term_content.h"
 
@@ -146,6 +148,19 @@
     time_point last_store_contact{};
     /// Start of this host's term as the coordinator.
     time_point coordinating_since{};
+    /// Whether this coordinator may still grant leases, and until when earlier ones may have.
+    leadership::grant_authority authority{};
+    leadership::succession succession{};
+    /// This coordinator may grant leases, see `leadership::may_grant`.
+    bool granting = true;
+    /// The end of earlier coordinators' leases is known, and was logged.
+    bool predecessors_settled = false;
+    /// Version of the stored members; its number is 0 if the store has none.
+    store_version members_version{};
+    /// What the store holds of the members is known.
+    bool members_read = false;
+    bool storing_members = false;
+    time_point last_term_check{};
     /// The last commit, or the read after it, succeeded or ended in a conflict.
     bool store_ok = true;
     bool store_reachable = true;
@@ -163,6 +178,11 @@
     std::map<service_id, ranges::range_table> known_owners{};
     std::map<service_id, std::uint64_t> known_versions{};
     std::uint64_t known_term = 0;
+    /// Stamp of the last answer of that coordinator, for the next report.
+    std::uint64_t known_stamp = 0;
+    /// When a coordinator last told this host that it lacks the store.
+    std::optional<time_point> told_of_outage_at{};
+    time_point started_at{};
     /// Version of the limits that this host got last; 0 if it has none.
     std::uint64_t known_limits = 0;
     /// Requests under which servers have ended; of this host's own term, or learned from answers.
@@ -210,6 +230,8 @@
     void answer_held_reports(bool all, time_point now);
     void publish_routes(const service_id& service, time_point now);
     std::vector<wire::endpoint> contacts_for(const host_id& host) const;
+    /// Whether this host coordinates and has not been replaced, as far as it knows.
+    bool may_act() const { return this->leading && this->granting; }
     void ask_contacts(std::size_t next);
     void on_contact_answer(const term_content& read);
     void on_coordinator_lost(std::string_view reason);
@@ -218,7 +240,17 @@
     void confirm_takeover(const term_content& new_term);
     void end_takeover();
     void vacate_term();
-    void start_coordinating(std::uint64_t number);
+    void start_coordinating(std::uint64_t number, time_point confirmed_at);
+    void begin_term(time_point confirmed_at, time_point now);
+    void read_members();
+    void on_members_read(const table_content& content);
+    void store_members(time_point now);
+    void check_term(time_point now);
+    void note_follower(const host_report& report, time_point now);
+    void update_authority(time_point now);
+    leadership::lease_spans lease_spans() const;
+    std::optional<time_point> predecessor_leases_end() const;
+    bool told_of_outage(time_point now) const;
     void step_down(std::string_view reason);
     void tick();
     void update_limits(time_point now);
@@ -242,7 +274,8 @@
     void commit(const service_id& service, const ranges::range_table& table);
     void verify_commit(const service_id& service, const std::string& value,
                        call_connection connection);
-    bool is_isolated(time_point now) const;
+    void manage_leases(time_point now);
+    void stop_routing_expired(time_point now);
 };
 
 }  // namespace greengagechute::gateway
--- a/libs/gateway/src/reports.cpp
+++ b/libs/gateway/src/reports.cpp
@@ -302,6 +302,12 @@
     nlohmann::json text;
     text["host"] = report.host.value();
     text["term"] = report.term;
+    if (report.answer_stamp != 0) {
+        text["answer_stamp"] = report.answer_stamp;
+    }
+    if (report.told_of_outage) {
+        text["told_of_outage"] = true;
+    }
     if (report.address) {
         text["address"] = to_text(*report.address);
     }
@@ -401,6 +407,10 @@
     report.term = parsed.contains("term") && parsed["term"].is_number_unsigned()
                       ? parsed["term"].get<std::uint64_t>()
                       : 0;
+    report.answer_stamp = number_or_zero(parsed, "answer_stamp");
+    report.told_of_outage = parsed.contains("told_of_outage") &&
+                            parsed["told_of_outage"].is_boolean() &&
+                            parsed["told_of_outage"].get<bool>();
     report.at_once = parsed.contains("at_once") && parsed["at_once"].is_boolean() &&
                      parsed["at_once"].get<bool>();
     report.servers = {number_or_zero(parsed, "servers_era"), number_or_zero(parsed, "servers")};
@@ -455,6 +465,9 @@
     text["has_store"] = answer.has_store;
     text["hosts"] = answer.hosts;
     text["term"] = answer.term;
+    if (answer.stamp != 0) {
+        text["stamp"] = answer.stamp;
+    }
     if (answer.catalogue.number != 0) {
         text["catalogue"] = answer.catalogue.number;
         text["catalogue_era"] = answer.catalogue.era;
@@ -582,6 +595,7 @@
     answer.term = parsed.contains("term") && parsed["term"].is_number_unsigned()
                       ? parsed["term"].get<std::uint64_t>()
                       : 0;
+    answer.stamp = number_or_zero(parsed, "stamp");
     answer.catalogue = {number_or_zero(parsed, "catalogue_era"),
                         number_or_zero(parsed, "catalogue")};
     for (const auto& [name, age] : {std::pair{"catalogue_age", &answer.catalogue_age},
--- a/libs/gateway/tests/fakes.h
+++ b/libs/gateway/tests/fakes.h
@@ -206,6 +206,13 @@
             milliseconds{1}, [done = std::move(done)] { done(ranges::command_outcome::done, ""); });
     }
 
+    /// Answers an order that could not be sent.
+    void fail(order_handler done) {
+        this->loop.call_after(milliseconds{1}, [done = std::move(done)] {
+            done(ranges::command_outcome::not_sent, "");
+        });
+    }
+
     epoch highest_fence;
     /// Grants with a fence below the highest are refused, as if all keys were in one range.
     bool checks_fences = false;
@@ -278,12 +285,16 @@
     }
     void send(const wire::endpoint& server, const ranges::lease_command& what,
               order_handler done) override {
-        if (!this->lost) {
+        if (!this->lost && this->unreachable.contains(what.server.id)) {
+            this->orders.fail(std::move(done));
+        } else if (!this->lost) {
             this->orders.send(server, what, std::move(done));
         }
     }
 
     bool lost = false;
+    /// Servers on the other side of a partition.
+    std::set<server_id> unreachable;
     /// No call of the store or its answer gets through.
     bool store_lost = false;
 
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -202,6 +202,9 @@
                   return;
               }
               if (asked->message().target == gateway::term_target) {
+                  if (!this->separated.empty()) {
+                      return;
+                  }
                   wire::response reply;
                   reply.code = 200;
                   reply.body = this->part->known_term();
@@ -210,9 +213,15 @@
               }
               gateway::host_report report;
               BOOST_REQUIRE(decode(asked->message().body, report));
+              if (this->separated.contains(report.host)) {
+                  return;
+              }
               this->part->on_report(
                   report,
-                  [this, asked](const gateway::report_answer& answer) {
+                  [this, asked, host = report.host](const gateway::report_answer& answer) {
+                      if (this->separated.contains(host)) {
+                          return;
+                      }
                       for (const auto& [service, update] : answer.owners) {
                           this->whole_tables += update.whole ? 1 : 0;
                       }
@@ -295,6 +304,8 @@
     }
 
     host_connections links;
+    /// Hosts on the other side of a partition: no report or answer arrives.
+    std::set<gg::host_id> separated;
     wire::client peers;
     wire::server server;
     std::unique_ptr<gateway::coordinator> part;
@@ -390,6 +401,39 @@
         this->loop.run();
     }
 
+    /// Parts the coordinator, `followers` other hosts and server `a` from all others and from `b`.
+    /// @param store_inside  the store is on their side
+    void partition(int followers, bool store_inside) {
+        const int first = this->coordinating();
+        BOOST_REQUIRE(first >= 0);
+        std::vector<bool> inside(this->hosts.size());
+        for (std::size_t index = 0; index < this->hosts.size(); ++index) {
+            inside[index] = static_cast<int>(index) == first || followers-- > 0;
+        }
+        for (std::size_t index = 0; index < this->hosts.size(); ++index) {
+            coordinating_host& host = *this->hosts[index];
+            host.links.unreachable.insert(gg::server_id(inside[index] ? "b" : "a"));
+            if (inside[index] != store_inside) {
+                host.links.store_lost = true;
+                host.part->set_store_reachable(false);
+            }
+            for (std::size_t other = 0; other < this->hosts.size(); ++other) {
+                if (inside[index] != inside[other]) {
+                    host.separated.insert(gg::host_id("host-" + std::to_string(other)));
+                }
+            }
+        }
+    }
+    void heal() {
+        for (const auto& host : this->hosts) {
+            host->links.unreachable.clear();
+            host->separated.clear();
+            host->links.store_lost = false;
+            host->part->set_store_reachable(true);
+        }
+    }
+    int grants_of(const std::string& server) { return this->orders.grants[gg::server_id(server)]; }
+
     std::uint64_t term() const {
         // A fence consists of the term number and a 24-bit counter.
         return (this->orders.highest_fence.value() >> 24U) & 0xFFFFFU;
@@ -1932,6 +1976,105 @@
     BOOST_TEST(test.orders.repeated_fences == 0);
 }
 
+// Guards against two owners of a key while a data centre is partitioned: its coordinator went on
+// renewing leases as long as hosts of its own side reported to it, and its successor on the other
+// side granted the same keys when those leases were thought to have expired.
+BOOST_AUTO_TEST_CASE(partitioned_coordinator_stops_renewing_before_its_successor_grants) {
+    coordination_fixture test;
+    test.add_hosts(5);
+    // Until then, the hosts do not know what coordinators told the processes before them.
+    test.run_for(7'000ms);
+    test.partition(1, false);
+    test.run_for(6'000ms);
+    BOOST_TEST(test.stored_owner_is("b"));
+    BOOST_TEST(test.orders.overlapping_grants == 0);
+    BOOST_TEST(test.orders.repeated_fences == 0);
+}
+
+// Guards against the same where the leases are longer because all hosts lacked the store before.
+BOOST_AUTO_TEST_CASE(successor_waits_for_the_leases_of_an_outage) {
+    coordination_fixture test;
+    test.add_hosts(5);
+    test.run_for(2'500ms);
+    for (const auto& host : test.hosts) {
+        host->links.store_lost = true;
+        host->part->set_store_reachable(false);
+    }
+    test.run_for(2'000ms);
+    test.heal();
+    test.partition(1, false);
+    test.run_for(8'000ms);
+    BOOST_TEST(test.stored_owner_is("b"));
+    BOOST_TEST(test.orders.overlapping_grants == 0);
+    BOOST_TEST(test.orders.repeated_fences == 0);
+}
+
+// Guards against two owners where the store is on the side of fewer hosts: the others, which may
+// take the store to be in an outage, keep their coordinator, and it renews the leases on its side.
+BOOST_AUTO_TEST_CASE(successor_that_few_hosts_follow_takes_no_keys_from_the_other_side) {
+    coordination_fixture test;
+    test.add_hosts(5);
+    test.run_for(2'500ms);
+    test.partition(3, false);
+    test.run_for(1'000ms);
+    const int grants = test.grants_of("a");
+    test.run_for(6'000ms);
+    BOOST_TEST(test.grants_of("a") > grants);
+    BOOST_TEST(!test.stored_owner_is("b"));
+    BOOST_TEST(test.orders.overlapping_grants == 0);
+    test.heal();
+    test.run_for(2'000ms);
+    BOOST_TEST(test.term() == 2U);
+    BOOST_TEST(test.orders.overlapping_grants == 0);
+    BOOST_TEST(test.orders.repeated_fences == 0);
+}
+
+// Guards against leases that expire although nothing has happened to the coordinator that the store
+// answers: few hosts follow it, as most are lost or on the other side of a partition.
+BOOST_AUTO_TEST_CASE(coordinator_with_the_store_renews_without_most_hosts) {
+    coordination_fixture test;
+    test.add_hosts(5);
+    test.run_for(2'500ms);
+    const int first = test.coordinating();
+    test.partition(0, true);
+    const int grants = test.grants_of("a");
+    test.run_for(5'000ms);
+    // A renewal every 500 ms, of which the last one may be due.
+    BOOST_TEST(test.grants_of("a") >= grants + 9);
+    BOOST_TEST(test.coordinating() == first);
+    BOOST_TEST(test.stored_owner_is("a"));
+    BOOST_TEST(test.orders.overlapping_grants == 0);
+}
+
+// Guards against leases that expire in an outage of the store, in which only the reports of the
+// hosts prove that the coordinator has not been replaced.
+BOOST_AUTO_TEST_CASE(leases_are_renewed_in_an_outage_of_the_store) {
+    coordination_fixture test;
+    test.add_hosts(5);
+    test.run_for(2'500ms);
+    const int first = test.coordinating();
+    BOOST_REQUIRE(first >= 0);
+    for (const auto& host : test.hosts) {
+        host->links.store_lost = true;
+        host->part->set_store_reachable(false);
+    }
+    test.run_for(3'000ms);
+    // Two of the hosts are lost as well.
+    int lost = 0;
+    for (std::size_t index = 0; index < test.hosts.size() && lost < 2; ++index) {
+        if (static_cast<int>(index) != first) {
+            test.hosts[index]->links.lost = true;
+            test.hosts[static_cast<std::size_t>(first)]->separated.insert(
+                gg::host_id("host-" + std::to_string(index)));
+            ++lost;
+        }
+    }
+    const int grants = test.grants_of("a");
+    test.run_for(4'000ms);
+    BOOST_TEST(test.grants_of("a") >= grants + 7);
+    BOOST_TEST(test.coordinating() == first);
+}
+
 // Guards against a host that holds the term but never coordinates after its takeover failed.
 BOOST_AUTO_TEST_CASE(failed_takeover_after_a_restore_is_tried_again) {
     coordination_fixture test;
--- a/libs/ranges/include/ranges/lease_manager.h
+++ b/libs/ranges/include/ranges/lease_manager.h
@@ -49,6 +49,11 @@
     double min_balance_load = 20.0;
 };
 
+/// Longest time from the sending of a grant, or from its end if it gets no answer, to the expiry of
+/// its lease: with the slowest permitted clock and the longest delivery.
+/// @param lease_duration  duration that the grant asks for
+milliseconds max_lease_time(const lease_settings& settings, milliseconds lease_duration);
+
 /// A server to which ranges may be assigned.
 struct candidate {
     server_instance instance;
@@ -111,8 +116,12 @@
     lease_manager(const lease_settings& settings, epoch first_fence);
 
     /// Replaces all leases by those of the stored table, at the start of a coordinator's term.
-    /// Leases of earlier coordinators are assumed to last for `outage_lease_duration` from `now`.
+    /// Leases of earlier coordinators are assumed to last for `outage_lease_duration` from `now`,
+    /// unless `set_predecessor_leases_end` is called.
     void adopt(const range_table& stored, time_point now);
+    /// Sets when the leases of earlier coordinators end that this one has neither renewed nor
+    /// released; empty if that is not known yet. May be called again with a better bound.
+    void set_predecessor_leases_end(std::optional<time_point> end);
     /// Like `adopt`, for a table that may be older than the leases in force: any server may own any
     /// key. No key is granted until leases of earlier coordinators have expired; then each range
     /// goes to the owner in the table, if that server may own keys.
@@ -122,8 +131,8 @@
     bool has_unverified(time_point now) const;
     /// Makes all further fencing tokens at least `first`.
     void raise_fences(epoch first);
-    /// Sets whether the store is unavailable. Leases are granted for `outage_lease_duration` then.
-    void set_store_unavailable(bool unavailable) { this->store_unavailable = unavailable; }
+    /// Sets whether leases are granted for `outage_lease_duration`, as in an outage of the store.
+    void set_outage_leases(bool granted) { this->outage_leases = granted; }
     /// Replaces the known servers. Starts the release of ranges whose owner is absent, no longer
     /// accepts keys, or was restarted.
     void set_candidates(const std::vector<candidate>& servers, time_point now);
@@ -131,6 +140,9 @@
     void set_instance_ended(const server_instance& instance, time_point now);
     /// Returns the commands to send now. Each must be followed by a call of `record_outcome`.
     std::vector<lease_command> due_commands(time_point now);
+    /// Routes no more requests to owners whose leases have certainly expired, for a coordinator
+    /// that may not renew them.
+    void stop_routing_expired(time_point now);
     /// Records the outcome of a command.
     /// @param handover  token returned with a release; empty otherwise
     void record_outcome(lease_id lease, command_outcome outcome, const std::string& handover,
@@ -201,21 +213,29 @@
         int refusals = 0;
         time_point next_send;
         /// Upper bound for the expiry of any lease that the owner has, or may still get from a
-        /// command in flight.
+        /// command in flight of this coordinator.
         time_point latest_expiry;
         /// `latest_expiry` before the command in flight; restored if the command was not sent.
         time_point expiry_before_command;
         /// Upper bound for the expiry of leases from unanswered grants.
         time_point unanswered_grant_expiry;
+        /// Upper bound for the expiry of leases of earlier coordinators, besides
+        /// `predecessor_leases_end`. Unknown, and so the latest time, until the owner has carried
+        /// out a command of this coordinator, which fences off earlier ones.
+        time_point inherited_expiry;
     };
 
     milliseconds current_lease_duration() const;
-    milliseconds max_lease_time(milliseconds lease_duration) const;
+    milliseconds max_lease_time(milliseconds lease_duration) const {
+        return ranges::max_lease_time(this->settings, lease_duration);
+    }
+    time_point latest_expiry_of(const lease& entry) const;
+    bool awaits_unverified(time_point now) const;
+    static void make_free(lease& entry);
     lease* find(lease_id id);
     const candidate* find_candidate(const server_instance& instance) const;
     const candidate* find_restarted_instance(const server_instance& instance) const;
-    static void begin_release_by_restarted(lease& entry, const candidate& restarted,
-                                           time_point now);
+    void begin_release_by_restarted(lease& entry, const candidate& restarted, time_point now) const;
     void apply_outcome(lease& entry, command_outcome outcome, const std::string& handover,
                        time_point now);
     void record_failure(lease& failed, time_point now);
@@ -248,7 +268,9 @@
     /// Earliest time of the first assignment of all keys.
     time_point first_assignment_at;
     bool higher_fence_seen = false;
-    bool store_unavailable = false;
+    bool outage_leases = false;
+    /// Upper bound for the expiry of leases of earlier coordinators.
+    time_point predecessor_leases_end;
 };
 
 }  // namespace greengagechute::ranges
--- a/libs/ranges/src/lease_manager.cpp
+++ b/libs/ranges/src/lease_manager.cpp
@@ -31,23 +31,38 @@
 
 }  // namespace
 
+milliseconds max_lease_time(const lease_settings& settings, milliseconds lease_duration) {
+    return lease_duration * percent / (percent - settings.clock_slow_percent) +
+           settings.max_delivery_delay;
+}
+
 lease_manager::lease_manager(const lease_settings& initial, epoch first_fence)
     : settings(initial), next_fence(first_fence) {}
 
 milliseconds lease_manager::current_lease_duration() const {
-    return this->store_unavailable ? this->settings.outage_lease_duration
-                                   : this->settings.lease_duration;
+    return this->outage_leases ? this->settings.outage_lease_duration
+                               : this->settings.lease_duration;
+}
+
+/// Upper bound for the expiry of any lease on the range, of this coordinator or an earlier one.
+time_point lease_manager::latest_expiry_of(const lease& entry) const {
+    return std::max(entry.latest_expiry,
+                    std::min(entry.inherited_expiry, this->predecessor_leases_end));
 }
 
-/// Longest time from sending a grant to the expiry of its lease, with the slowest permitted clock
-/// and the longest delivery.
-milliseconds lease_manager::max_lease_time(milliseconds lease_duration) const {
-    return lease_duration * percent / (percent - this->settings.clock_slow_percent) +
-           this->settings.max_delivery_delay;
+void lease_manager::make_free(lease& entry) {
+    entry.state = phase::free;
+    entry.unverified = false;
+    entry.inherited_expiry = {};
+}
+
+void lease_manager::set_predecessor_leases_end(std::optional<time_point> end) {
+    this->predecessor_leases_end = end.value_or(time_point::max());
 }
 
 void lease_manager::adopt(const range_table& stored, time_point now) {
     this->leases.clear();
+    this->predecessor_leases_end = now + this->max_lease_time(this->settings.outage_lease_duration);
     for (const range_owner& entry : stored.ranges) {
         lease adopted;
         adopted.id = lease_id(++this->last_id);
@@ -56,7 +71,8 @@
         adopted.fence = this->next_fence;
         adopted.next_send = now;
         adopted.routable = true;
-        adopted.latest_expiry = now + this->max_lease_time(this->settings.outage_lease_duration);
+        adopted.inherited_expiry = time_point::max();
+        adopted.latest_expiry = now;
         this->leases.push_back(std::move(adopted));
     }
     this->next_fence = this->next_fence.next();
@@ -77,8 +93,14 @@
     }
 }
 
+/// Whether no key may be assigned yet because any server may own any key.
+bool lease_manager::awaits_unverified(time_point now) const {
+    return this->first_assignment_at != time_point{} &&
+           now < std::max(this->first_assignment_at, this->predecessor_leases_end);
+}
+
 bool lease_manager::has_unverified(time_point now) const {
-    return now < this->first_assignment_at ||
+    return this->awaits_unverified(now) ||
            std::any_of(this->leases.begin(), this->leases.end(),
                        [](const lease& entry) { return entry.unverified; });
 }
@@ -106,8 +128,8 @@
 /// Requires the restarted server to release the range of its previous instance. Both have the same
 /// id, so that a grant of the last two seconds may have reached the new process.
 void lease_manager::begin_release_by_restarted(lease& entry, const candidate& restarted,
-                                               time_point now) {
-    if (now >= entry.latest_expiry) {
+                                               time_point now) const {
+    if (now >= this->latest_expiry_of(entry)) {
         free_immediately(entry, now);
         return;
     }
@@ -153,7 +175,7 @@
     for (lease& entry : this->leases) {
         const candidate* const restarted = this->find_restarted_instance(entry.owner);
         if (restarted != nullptr && entry.state != phase::free && !entry.unverified) {
-            begin_release_by_restarted(entry, *restarted, now);
+            this->begin_release_by_restarted(entry, *restarted, now);
             continue;
         }
         const candidate* owner = this->find_candidate(entry.owner);
@@ -170,11 +192,10 @@
         const bool refused = entry.state == phase::held && !entry.in_flight &&
                              entry.refusals >= max_routable_refusals;
         if ((entry.state == phase::expiring || entry.state == phase::releasing || refused) &&
-            now >= entry.latest_expiry) {
+            now >= this->latest_expiry_of(entry)) {
             // The lease has expired, so neither an unanswered release nor an owner that refuses
             // connections need be waited for.
-            entry.state = phase::free;
-            entry.unverified = false;
+            make_free(entry);
             if (refused) {
                 // The owner may have had the keys, and its own token is not known.
                 entry.handover.clear();
@@ -208,6 +229,14 @@
     return orders;
 }
 
+void lease_manager::stop_routing_expired(time_point now) {
+    for (lease& entry : this->leases) {
+        if (now >= this->latest_expiry_of(entry)) {
+            entry.routable = false;
+        }
+    }
+}
+
 void lease_manager::record_failure(lease& failed, time_point now) {
     ++failed.failures;
     failed.next_send = std::min(failed.next_send, now + retry_delay);
@@ -220,7 +249,7 @@
 }
 
 void lease_manager::free_immediately(lease& entry, time_point now) {
-    entry.state = phase::free;
+    make_free(entry);
     entry.latest_expiry = now;
     entry.handover.clear();
 }
@@ -309,6 +338,10 @@
     entry.connect_failures = 0;
     entry.refusals = 0;
     if (entry.command_kind == lease_command::kind::grant) {
+        // An earlier coordinator's lease may last longer than the grant that has fenced it off.
+        entry.inherited_expiry =
+            std::min(entry.inherited_expiry,
+                     now + this->max_lease_time(this->settings.outage_lease_duration));
         entry.confirmed = true;
         entry.routable = true;
         if (entry.state == phase::held) {
@@ -319,6 +352,7 @@
         // An unanswered grant may still take effect after the release.
         entry.state = now >= entry.unanswered_grant_expiry ? phase::free : phase::expiring;
         entry.latest_expiry = std::max(now, entry.unanswered_grant_expiry);
+        entry.inherited_expiry = {};
     }
 }
 
@@ -379,7 +413,7 @@
     }
     std::vector<lease> planned = this->leases;
     if (planned.empty()) {
-        if (now < this->first_assignment_at ||
+        if (this->awaits_unverified(now) ||
             now - this->candidates_changed < this->settings.registration_quiet_time) {
             return std::nullopt;
         }
@@ -538,6 +572,7 @@
             whole.latest_expiry = std::max(whole.latest_expiry, entry.latest_expiry);
             whole.unanswered_grant_expiry =
                 std::max(whole.unanswered_grant_expiry, entry.unanswered_grant_expiry);
+            whole.inherited_expiry = std::max(whole.inherited_expiry, entry.inherited_expiry);
             this->next_fence = this->next_fence.next();
         } else {
             merged.push_back(std::move(entry));
--- a/libs/ranges/tests/ranges_test.cpp
+++ b/libs/ranges/tests/ranges_test.cpp
@@ -422,13 +422,13 @@
 // not be replaced, and against reassigning keys before the longer lease of an outage has expired.
 BOOST_AUTO_TEST_CASE(leases_are_longer_while_the_store_is_unavailable) {
     fixture setup(servers({"a", "b"}));
-    setup.manager.set_store_unavailable(true);
+    setup.manager.set_outage_leases(true);
     setup.now += setup.settings.renew_interval;
     for (const ranges::lease_command& command : setup.answer_all(ranges::command_outcome::done)) {
         BOOST_CHECK(command.lease_duration == setup.settings.outage_lease_duration);
     }
     const gg::time_point renewed = setup.now;
-    setup.manager.set_store_unavailable(false);
+    setup.manager.set_outage_leases(false);
     setup.now += setup.settings.renew_interval;
     for (const ranges::lease_command& command :
          setup.answer_all(ranges::command_outcome::unanswered)) {
@@ -756,7 +756,7 @@
             }
             manager.set_candidates(candidates, now);
             if (chance(3)) {
-                manager.set_store_unavailable(chance(40));
+                manager.set_outage_leases(chance(40));
             }
             load.decay(now);
             if (step % 10 == 0) {
