Keep a sound coordinator when a partition ends

What callers saw: after a partition of their data centre, up to three changes of the coordinator within two seconds, and keys without an owner for as long as leases of earlier coordinators had to be waited for.

Cause: a host in a partition finds its coordinator lost four times in 5 s, and each time writes its own term. A write that leaves just before the partition ends succeeds, and replaces a coordinator that all other hosts follow.

Change: a host that the store has not answered either takes over only if a report fails that was sent after the store had answered again.

Test that failed before: gateway_test/hosts_back_from_a_partition_keep_the_coordinator (term 2 instead of 1). lost_coordinator_is_replaced_after_an_outage_of_the_store holds what the change must not break, and passed before.

--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -192,8 +192,15 @@
                          }
                          finish(owner_rows.has_value());
                      });
+    this->read_term(connection, finish);
+}
+
+/// Reads the term.
+/// @param done  called with whether the read succeeded
+void coordinator::state::read_term(call_connection connection,
+                                   const std::function<void(bool)>& done) {
     this->store.read(std::string(term_table), connection,
-                     [this, finish](const result<table_content>& terms) {
+                     [this, done](const result<table_content>& terms) {
                          if (terms) {
                              this->note_content(term_table, *terms, true);
                              for (const stored_row& row : terms->rows) {
@@ -202,7 +209,7 @@
                                  }
                              }
                          }
-                         finish(terms.has_value());
+                         done(terms.has_value());
                      });
 }
 
--- a/libs/gateway/src/coordinator_members.cpp
+++ b/libs/gateway/src/coordinator_members.cpp
@@ -142,23 +142,12 @@
 /// follow.
 void coordinator::state::check_term(time_point now) {
     this->last_term_check = now;
-    this->store.read(
-        std::string(term_table), call_connection::fresh,
-        [this, number = this->term->number, now](const result<table_content>& content) {
-            if (!content || !this->leading || this->term->number != number) {
-                return;
-            }
-            this->note_content(term_table, *content, true);
-            for (const stored_row& row : content->rows) {
-                if (row.key == term_row) {
-                    this->on_term_row(row);
-                }
-            }
-            if (this->leading && this->stored_term && this->stored_term->host == this->identity &&
-                this->stored_term->number == number) {
-                leadership::record_confirmation(this->authority, now);
-            }
-        });
+    this->read_term(call_connection::fresh, [this, number = this->term->number, now](bool done) {
+        if (done && this->leading && this->term->number == number && this->stored_term &&
+            this->stored_term->host == this->identity && this->stored_term->number == number) {
+            leadership::record_confirmation(this->authority, now);
+        }
+    });
 }
 
 /// Records that a host has reported to this one in the present term.
--- a/libs/gateway/src/coordinator_reports.cpp
+++ b/libs/gateway/src/coordinator_reports.cpp
@@ -101,11 +101,12 @@
                              ++this->missed_reports;
                              if (outcome.error == wire::wire_errc::refused ||
                                  this->missed_reports >= max_missed_reports) {
-                                 this->on_coordinator_lost(outcome.error.message());
+                                 this->on_report_unanswered(outcome.error.message(), asked_at);
                              }
                              return;
                          }
                          this->missed_reports = 0;
+                         this->store_answered_at.reset();
                          if (!answer.coordinating) {
                              this->on_not_coordinating(answer.pending, wire::event_loop::now());
                              return;
@@ -115,6 +116,25 @@
                      });
 }
 
+/// Handles that the coordinator does not answer. If the store has not answered this host either, it
+/// is this host that may have been cut off: it takes over only if a report fails that was sent
+/// after the store had answered again. Otherwise, a commit sent at the end of a partition would
+/// replace a coordinator that all others follow.
+/// @param asked_at  when the report was sent
+void coordinator::state::on_report_unanswered(std::string_view reason, time_point asked_at) {
+    if (this->store_reachable ||
+        (this->store_answered_at && asked_at >= *this->store_answered_at)) {
+        this->on_coordinator_lost(reason);
+        return;
+    }
+    this->ask_contacts(0);
+    this->read_term(call_connection::fresh, [this](bool done) {
+        if (done && !this->store_answered_at) {
+            this->store_answered_at = wire::event_loop::now();
+        }
+    });
+}
+
 /// Handles an answer of a term holder that does not coordinate, or not yet.
 void coordinator::state::on_not_coordinating(bool pending, time_point now) {
     if (pending && !this->pending_since) {
--- a/libs/gateway/src/coordinator_state.h
+++ b/libs/gateway/src/coordinator_state.h
@@ -113,6 +113,9 @@
     bool resigned = false;
     /// Consecutive reports without a valid answer.
     int missed_reports = 0;
+    /// When the store has answered this host, to which the coordinator has not answered since, and
+    /// whose watch has failed before.
+    std::optional<time_point> store_answered_at{};
     /// Time of the first answer in a row that said that a takeover is pending.
     std::optional<time_point> pending_since{};
     time_point coordinator_without_store_since{};
@@ -218,10 +221,12 @@
     void write_term_and_owners();
     void end_reassertion(bool written);
     void on_term_row(const stored_row& row);
+    void read_term(call_connection connection, const std::function<void(bool)>& done);
     void read_rows(call_connection connection, const std::function<void(bool)>& done);
     void report();
     void schedule_report(milliseconds pause);
     void on_answer(const report_answer& answer, time_point asked_at);
+    void on_report_unanswered(std::string_view reason, time_point asked_at);
     void on_not_coordinating(bool pending, time_point now);
     report_answer make_answer(const host_report& report, time_point now) const;
     bool has_inherited_owners(const host_report& report, const service_id& service) const;
--- a/libs/gateway/tests/fakes.h
+++ b/libs/gateway/tests/fakes.h
@@ -206,11 +206,9 @@
             milliseconds{1}, [done = std::move(done)] { done(ranges::command_outcome::done, ""); });
     }
 
-    /// Answers an order that could not be sent.
-    void fail(order_handler done) {
-        this->loop.call_after(milliseconds{1}, [done = std::move(done)] {
-            done(ranges::command_outcome::not_sent, "");
-        });
+    /// Runs an action later, as the answer to a call that gets none.
+    void after(milliseconds delay, std::function<void()> action) {
+        this->loop.call_after(delay, std::move(action));
     }
 
     epoch highest_fence;
@@ -266,6 +264,10 @@
     void read(const std::string& table, call_connection connection, content_handler done) override {
         if (!this->lost && !this->store_lost) {
             this->store.read(table, connection, std::move(done));
+        } else if (this->store_timeout > milliseconds{0}) {
+            this->orders.after(this->store_timeout, [done = std::move(done)] {
+                done(make_error_code(gateway_errc::store_unavailable));
+            });
         }
     }
     void watch(const std::string& table, store_version after_version, milliseconds wait,
@@ -281,12 +283,17 @@
                 call_connection connection, commit_handler done) override {
         if (!this->lost && !this->store_lost) {
             this->store.commit(expected, rows, connection, std::move(done));
+        } else if (this->store_timeout > milliseconds{0}) {
+            this->orders.after(this->store_timeout,
+                               [done = std::move(done)] { done(commit_outcome::unknown); });
         }
     }
     void send(const wire::endpoint& server, const ranges::lease_command& what,
               order_handler done) override {
         if (!this->lost && this->unreachable.contains(what.server.id)) {
-            this->orders.fail(std::move(done));
+            this->orders.after(milliseconds{1}, [done = std::move(done)] {
+                done(ranges::command_outcome::not_sent, "");
+            });
         } else if (!this->lost) {
             this->orders.send(server, what, std::move(done));
         }
@@ -297,6 +304,8 @@
     std::set<server_id> unreachable;
     /// No call of the store or its answer gets through.
     bool store_lost = false;
+    /// Time after which such calls fail; 0 if they never end.
+    milliseconds store_timeout{0};
 
 private:
     memory_store& store;
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -415,6 +415,7 @@
             host.links.unreachable.insert(gg::server_id(inside[index] ? "b" : "a"));
             if (inside[index] != store_inside) {
                 host.links.store_lost = true;
+                host.links.store_timeout = 300ms;
                 host.part->set_store_reachable(false);
             }
             for (std::size_t other = 0; other < this->hosts.size(); ++other) {
@@ -424,13 +425,16 @@
             }
         }
     }
-    void heal() {
+    /// Ends a partition. The hosts' watches notice later that the store answers again.
+    void heal(gg::milliseconds noticed_after) {
         for (const auto& host : this->hosts) {
             host->links.unreachable.clear();
             host->separated.clear();
             host->links.store_lost = false;
-            host->part->set_store_reachable(true);
+            this->loop.call_after(noticed_after,
+                                  [&part = *host->part] { part.set_store_reachable(true); });
         }
+        this->run_for(noticed_after + 1ms);
     }
     int grants_of(const std::string& server) { return this->orders.grants[gg::server_id(server)]; }
 
@@ -2001,7 +2005,7 @@
         host->part->set_store_reachable(false);
     }
     test.run_for(2'000ms);
-    test.heal();
+    test.heal(0ms);
     test.partition(1, false);
     test.run_for(8'000ms);
     BOOST_TEST(test.stored_owner_is("b"));
@@ -2022,13 +2026,47 @@
     BOOST_TEST(test.grants_of("a") > grants);
     BOOST_TEST(!test.stored_owner_is("b"));
     BOOST_TEST(test.orders.overlapping_grants == 0);
-    test.heal();
+    test.heal(0ms);
     test.run_for(2'000ms);
     BOOST_TEST(test.term() == 2U);
     BOOST_TEST(test.orders.overlapping_grants == 0);
     BOOST_TEST(test.orders.repeated_fences == 0);
 }
 
+// Guards against hosts that replace a sound coordinator as soon as a partition ends, because their
+// reports were not answered before: each change of the coordinator costs unreachable keys seconds.
+BOOST_AUTO_TEST_CASE(hosts_back_from_a_partition_keep_the_coordinator) {
+    coordination_fixture test;
+    test.add_hosts(6);
+    test.run_for(2'500ms);
+    for (int round = 0; round < 3; ++round) {
+        test.partition(0, true);
+        // Ends at different moments between two reports of the hosts.
+        test.run_for(gg::milliseconds(2'500 + 170 * round));
+        test.heal(500ms);
+        test.run_for(1'000ms);
+        BOOST_TEST(test.coordinating() >= 0);
+        BOOST_TEST(test.term() == 1U);
+    }
+}
+
+// Guards against a lost coordinator that nobody replaces because the watches of all hosts have
+// failed, although the store answers.
+BOOST_AUTO_TEST_CASE(lost_coordinator_is_replaced_after_an_outage_of_the_store) {
+    coordination_fixture test;
+    test.add_hosts(3);
+    test.run_for(2'000ms);
+    const int first = test.coordinating();
+    BOOST_REQUIRE(first >= 0);
+    for (const auto& host : test.hosts) {
+        host->part->set_store_reachable(false);
+    }
+    test.hosts[static_cast<std::size_t>(first)]->links.lost = true;
+    test.run_for(3'000ms);
+    BOOST_TEST(test.coordinating() >= 0);
+    BOOST_TEST(test.term() == 2U);
+}
+
 // Guards against leases that expire although nothing has happened to the coordinator that the store
 // answers: few hosts follow it, as most are lost or on the other side of a partition.
 BOOST_AUTO_TEST_CASE(coordinator_with_the_store_renews_without_most_hosts) {
