Refuse answers whose head is made of two

Cause: a faulty server sends the beginning of an earlier answer, which breaks off within a line, and then the true one. http-parser takes the status line that follows for a part of a header's value or of the reason phrase, and the id that tells the answers apart comes from the second half. Ruled out: copies that reach their id (they are skipped), bytes behind an answer (they end the connection).

Change: a response is malformed if its reason phrase or a header line holds a status line, or if it repeats a header that may stand once. Its connection is closed, and the request may have run.

Tests that failed before: wire_test/answer_that_breaks_off_lends_nothing_to_the_next joins six statuses with six, cut at each byte. The fuzzer has a target for such joins.

--- a/libs/gateway/src/front_dispatch.cpp
+++ b/libs/gateway/src/front_dispatch.cpp
@@ -262,6 +262,8 @@
         const std::string* echoed = wire::find_header(message.headers, name);
         return echoed == nullptr || *echoed == id;
     };
+    options.unique_headers = {this->names.request_id, this->names.signature, this->names.load,
+                              this->names.not_run, this->names.server};
     active->call = this->upstreams.send(
         server.entry.address, active->message, options,
         [this, active](wire::call_result outcome) { this->on_result(active, std::move(outcome)); });
--- a/libs/wire/include/wire/client.h
+++ b/libs/wire/include/wire/client.h
@@ -30,6 +30,9 @@
     /// Whether a response answers this request; others are late answers to earlier requests and are
     /// skipped. Empty accepts every response.
     std::function<bool(const response&)> accept;
+    /// Headers that a response has once at most. One that repeats them may consist of the parts of
+    /// two: the call fails with `wire_errc::malformed_response`.
+    std::vector<std::string> unique_headers;
     /// Kept connections that the call does not use. An answer repeated on one of them could not be
     /// told from the answer to this call.
     std::vector<connection_id> excluded;
--- a/libs/wire/src/client.cpp
+++ b/libs/wire/src/client.cpp
@@ -228,6 +228,14 @@
     call_result outcome;
     outcome.message = channel->parser.take();
     const auto answered = channel->current;
+    const auto is_repeated = [&headers = outcome.message.headers](const std::string& name) {
+        return header_values(headers, name).size() > 1;
+    };
+    if (std::any_of(answered->options.unique_headers.begin(),
+                    answered->options.unique_headers.end(), is_repeated)) {
+        this->fail(channel, wire_errc::malformed_response);
+        return;
+    }
     if (answered->options.accept && !answered->options.accept(outcome.message)) {
         if (!outcome.message.keep_alive) {
             this->fail(channel, wire_errc::closed_before_response);
--- a/libs/wire/src/message.cpp
+++ b/libs/wire/src/message.cpp
@@ -47,6 +47,34 @@
            std::none_of(line.value.begin(), line.value.end(), bad_value);
 }
 
+/// Whether a line of a response's head holds a status line. An answer that breaks off within a line
+/// is joined by the next one on its connection, which would get its status and headers.
+bool contains_status_line(std::string_view line) {
+    constexpr std::string_view protocol = "HTTP/";
+    constexpr std::string_view pattern = "0.0 000";
+    for (std::size_t at = line.find(protocol); at != std::string_view::npos;
+         at = line.find(protocol, at + 1)) {
+        const std::string_view rest = line.substr(at + protocol.size(), pattern.size());
+        const bool matches =
+            rest.size() == pattern.size() &&
+            std::equal(rest.begin(), rest.end(), pattern.begin(), [](char c, char wanted) {
+                return wanted == '0' ? c >= '0' && c <= '9' : c == wanted;
+            });
+        if (matches) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Whether the head of a response consists of more than one head.
+bool is_joined(const std::string& reason, const header_list& headers) {
+    return contains_status_line(reason) ||
+           std::any_of(headers.begin(), headers.end(), [](const header& line) {
+               return contains_status_line(line.name) || contains_status_line(line.value);
+           });
+}
+
 /// Size of the blocks that a body is received in. One text that grows would take up to three times
 /// the received bytes while it is copied.
 constexpr std::size_t body_block_size = 64U << 10U;
@@ -242,7 +270,8 @@
             own.headers_done = true;
             ignore_upgrade(*parser);
             if (!is_valid_status(parser->status_code) ||
-                !std::all_of(own.headers.begin(), own.headers.end(), is_clean)) {
+                !std::all_of(own.headers.begin(), own.headers.end(), is_clean) ||
+                is_joined(own.reason, own.headers)) {
                 return own.fail(wire_errc::malformed_response);
             }
             return own.no_body ? 1 : 0;
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -327,6 +327,89 @@
     BOOST_TEST(second.error() == make_error_code(wire::wire_errc::body_too_large));
 }
 
+// Guards against an answer made of two: a server sends the beginning of an answer to an earlier
+// request, which breaks off at any byte, and then the answer to the present one. The status, the
+// headers and the body must all come from the answer with the present id, or the response is not
+// taken for it.
+BOOST_AUTO_TEST_CASE(answer_that_breaks_off_lends_nothing_to_the_next) {
+    const auto make = [](const std::string& status, const std::string& id, const std::string& body,
+                         bool chunked) {
+        const std::string head = "HTTP/1.1 " + status + "\r\nOwn-Load: 1,0,3\r\nOwn-Id: " + id +
+                                 "\r\nOwn-Signature: s-" + id + "\r\n";
+        return chunked ? head + "Transfer-Encoding: chunked\r\n\r\n" + "4\r\n" + body +
+                             "\r\n0\r\nOwn-Sum: 5\r\n\r\n"
+                       : head + "Content-Length: 4\r\n\r\n" + body;
+    };
+    const std::vector<std::string> statuses{"200 OK",
+                                            "204 No Content",
+                                            "404 Not Found",
+                                            "500 Internal Server Error",
+                                            "503 Service Unavailable\r\nOwn-Not-Run: 1",
+                                            "103 Early Hints\r\nLink: x"};
+    for (const std::string& first_status : statuses) {
+        for (const std::string& second_status : statuses) {
+            for (const bool chunked : {false, true}) {
+                const std::string first = make(first_status, "earlier", "1111", chunked);
+                const std::string second = make(second_status, "present", "2222", chunked);
+                wire::response_parser whole;
+                std::size_t used = 0;
+                const bool readable = whole.feed(second, used);
+                const wire::response expected = readable ? whole.take() : wire::response{};
+                for (std::size_t cut = 1; cut < first.size(); ++cut) {
+                    const std::string bytes = first.substr(0, cut) + second;
+                    wire::response_parser parser;
+                    std::string_view rest = bytes;
+                    while (!rest.empty() && parser.feed(rest, used)) {
+                        rest.remove_prefix(used);
+                        const wire::response read = parser.take();
+                        const auto ids = wire::header_values(read.headers, "Own-Id");
+                        const bool taken = ids == std::vector<std::string>{"present"};
+                        if (taken) {
+                            BOOST_REQUIRE_MESSAGE(
+                                readable && read.code == expected.code &&
+                                    read.body == expected.body &&
+                                    wire::header_values(read.headers, "Own-Signature") ==
+                                        std::vector<std::string>{"s-present"} &&
+                                    wire::header_values(read.headers, "Own-Not-Run") ==
+                                        wire::header_values(expected.headers, "Own-Not-Run"),
+                                first_status << " cut at " << cut << " joined " << second_status);
+                        }
+                        BOOST_REQUIRE_MESSAGE(
+                            !ids.empty(), first_status << " cut at " << cut << " has lost its id");
+                    }
+                }
+            }
+        }
+    }
+}
+
+// Guards against two answers whose heads are joined at the end of a line.
+BOOST_AUTO_TEST_CASE(response_that_repeats_a_unique_header_fails_the_call) {
+    wire::event_loop loop;
+    wire::server server(loop, [](const std::shared_ptr<wire::incoming>& asked) {
+        wire::response answer;
+        answer.code = 200;
+        answer.headers = {{"Own-Id", "earlier"}, {"Own-Id", "present"}};
+        asked->answer(std::move(answer));
+    });
+    BOOST_REQUIRE(!server.open({"127.0.0.1", 0}));
+    wire::client caller(loop, {});
+    wire::request message;
+    message.method = "GET";
+    message.target = "/";
+    message.headers = {{"Host", "h"}};
+    wire::call_options options;
+    options.unique_headers = {"Own-Id"};
+    std::error_code error;
+    caller.send({"127.0.0.1", server.port()}, message, options,
+                [&error, &loop](const wire::call_result& outcome) {
+                    error = outcome.error;
+                    loop.stop();
+                });
+    loop.run();
+    BOOST_CHECK(error == wire::wire_errc::malformed_response);
+}
+
 // Guards against an answer whose status is none of HTTP's, as servers in trouble send: as an
 // interim answer it would be skipped, and a later answer taken in its place; as a final one, passed
 // on.
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -97,6 +97,30 @@
     return over_limit ? "more is kept than the limit of a head and the received bytes" : "";
 }
 
+/// `bytes` are the beginning of an answer to an earlier request, which is joined by a whole one to
+/// the present request.
+std::string check_joined_responses(std::string_view bytes) {
+    const std::string joined = std::string(bytes) +
+                               "HTTP/1.1 500 Failed\r\nOwn-Load: 1,0,3\r\nOwn-Id: present\r\n"
+                               "Content-Length: 4\r\n\r\n2222";
+    bool lent = false;
+    const auto check = [&lent](const wire::response& message) {
+        const bool taken =
+            wire::header_values(message.headers, "Own-Id") == std::vector<std::string>{"present"};
+        lent = lent || (taken && (message.code != 500 || message.body != "2222"));
+        return std::string();
+    };
+    for (const std::size_t step : {joined.size(), std::size_t{1}, std::size_t{7}}) {
+        wire::response_parser parser;
+        parser.set_head_limit(head_limit);
+        const read_stream result = read_in_pieces(parser, joined, step, check);
+        if (!result.failed && parser.feed_end()) {
+            check(parser.take());
+        }
+    }
+    return lent ? "an answer that broke off has lent its head to the next one" : "";
+}
+
 std::string check_server_row(std::string_view bytes) {
     std::string reason;
     const auto entry = adapter::read_server({"", "i-1", std::string(bytes), {0, 1}, false}, reason);
@@ -212,6 +236,13 @@
           "HTTP/1.1 503 Full\r\nRetry-After: 0.5\r\n\r\nbody to the end",
           "HTTP/1.1 204 No\r\n\r\n"},
          check_responses},
+        {"joined_response",
+         {"HTTP/1.1 200 OK\r\nOwn-Load: 1,0", "HTTP/1.1 200 O",
+          "HTTP/1.1 200 OK\r\nOwn-Load: 1,0,3\r\nOwn-Id: earlier\r\nOwn-Signa",
+          "HTTP/1.1 503 Full\r\nOwn-Not-Run: 1\r\nRetry-After: 0.",
+          "HTTP/1.1 200 OK\r\nOwn-Id: earlier\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n11",
+          "HTTP/1.1 103 Early\r\nLink: x"},
+         check_joined_responses},
         {"server_row",
          {R"({"address":"10.0.0.1:80","born":1700000000000,"info":{"service":"s","version":"v1",)"
           R"("zone":"z","slots":3},"status":{"state":"ready","sequence":4,"warmupLeftS":0.5}})"},
