Drop the trailers of responses

Cause: trailers were appended to the headers. A chunked answer that breaks off can swallow the status line of the next one, whose head is then read as its trailer and lends it the id: the status of one answer with the id of another.

Change: trailers of responses are read and dropped, as those of requests are. They are not part of what callers are promised.

--- a/libs/wire/src/message.cpp
+++ b/libs/wire/src/message.cpp
@@ -458,6 +458,8 @@
     http_parser_init(&this->implementation->parser, HTTP_RESPONSE);
     this->implementation->parser.data = static_cast<collector*>(this->implementation.get());
     this->implementation->line_overhead = sizeof(header);
+    // As headers, the lines of an answer that follows a broken body could lend it their id.
+    this->implementation->drops_trailers = true;
 }
 
 response_parser::~response_parser() = default;
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -659,6 +659,20 @@
     BOOST_TEST(received > large);
 }
 
+// Guards against an answer that gets the id of the next one: its last chunk breaks off, and the
+// head that follows on the connection is read as its trailer.
+BOOST_AUTO_TEST_CASE(trailers_of_a_response_are_not_headers) {
+    wire::response_parser parser;
+    std::size_t used = 0;
+    BOOST_REQUIRE(
+        parser.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+                    "Own-Id: present\r\n\r\n",
+                    used));
+    const wire::response read = parser.take();
+    BOOST_TEST(read.body == "ok");
+    BOOST_TEST(wire::find_header(read.headers, "Own-Id") == nullptr);
+}
+
 // Guards against header lines that a caller adds behind the body of its request, and which would be
 // sent on as part of the head: a second host, or a name that only this host may set.
 BOOST_AUTO_TEST_CASE(trailers_of_a_request_are_not_headers) {
