Tidy the coordinator's proofs after a read-through

Cause: the count of the hosts that have left earlier coordinators was repeated at each report until most of them know of no outage, which at 1,400 hosts is 2,800 counts of 1,400 hosts a second. `last_store_contact` was no longer read, and `manage_leases` did more than its name says.

Change: the count is repeated only when a host is new. The unread member is gone; the function is `coordinate`. The new fields of reports and answers are in the round-trip test.

--- a/libs/gateway/src/coordinator.cpp
+++ b/libs/gateway/src/coordinator.cpp
@@ -61,7 +61,6 @@
 
 void coordinator::on_term(const table_content& content, bool whole) {
     state& own = *this->implementation;
-    own.last_store_contact = wire::event_loop::now();
     if (whole) {
         own.table_loaded = true;
     }
@@ -351,7 +350,6 @@
     this->term_from_host = false;
     this->last_tick = now;
     this->last_balance = now;
-    this->last_store_contact = now;
     this->coordinating_since = now;
     this->limits_version = number * versions_per_term + 1;
     this->suspects.version = number * versions_per_term + 1;
@@ -413,13 +411,14 @@
     if (!this->granting) {
         this->stop_routing_expired(now);
     } else if (this->config && this->servers.loaded()) {
-        this->manage_leases(now);
+        this->coordinate(now);
     }
     this->loop.call_after(this->settings.tick_interval, [this] { this->tick(); });
 }
 
-/// Does the regular work of a coordinator that may grant leases.
-void coordinator::state::manage_leases(time_point now) {
+/// Does the regular work of a coordinator that may grant leases: leases, loans and limits at each
+/// tick, the rest at longer intervals.
+void coordinator::state::coordinate(time_point now) {
     for (const auto& [id, service] : this->config->services) {
         if (service.divided) {
             this->update_leases(id, now);
--- a/libs/gateway/src/coordinator_leases.cpp
+++ b/libs/gateway/src/coordinator_leases.cpp
@@ -385,7 +385,6 @@
             });
             return;
         }
-        this->last_store_contact = now;
         const stored_row* const row = this->owners_row(service);
         const bool stored = row != nullptr && row->value == value;
         managed_service& own = this->managed.at(service);
--- a/libs/gateway/src/coordinator_state.h
+++ b/libs/gateway/src/coordinator_state.h
@@ -148,7 +148,6 @@
     time_point last_limits{};
     /// Raised when a limit begins or ends. The first one of a term is above those of earlier terms.
     std::uint64_t limits_version = 0;
-    time_point last_store_contact{};
     /// Start of this host's term as the coordinator.
     time_point coordinating_since{};
     /// Whether this coordinator may still grant leases, and until when earlier ones may have.
@@ -279,7 +278,7 @@
     void commit(const service_id& service, const ranges::range_table& table);
     void verify_commit(const service_id& service, const std::string& value,
                        call_connection connection);
-    void manage_leases(time_point now);
+    void coordinate(time_point now);
     void stop_routing_expired(time_point now);
 };
 
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -778,6 +778,8 @@
     report.contacts = 13;
     report.data_centre = gg::data_centre_id("dc");
     report.evacuations = {2, 30};
+    report.answer_stamp = 1'700;
+    report.told_of_outage = true;
     gateway::host_report read;
     BOOST_REQUIRE(decode(encode(report), read));
     BOOST_TEST(read.host.value() == "h1");
@@ -798,8 +800,11 @@
     BOOST_TEST(read.contacts == 13U);
     BOOST_TEST(read.data_centre.value() == "dc");
     BOOST_CHECK((read.evacuations == gateway::store_version{2, 30}));
+    BOOST_TEST(read.answer_stamp == 1'700U);
+    BOOST_TEST(read.told_of_outage);
     gateway::report_answer answer;
     answer.term = 4;
+    answer.stamp = 1'800;
     answer.catalogue = {2, 31};
     answer.catalogue_age = 430ms;
     answer.term_age = 1'200ms;
@@ -817,6 +822,7 @@
     BOOST_CHECK((read_answer.catalogue == gateway::store_version{2, 31}));
     BOOST_CHECK(read_answer.catalogue_age == 430ms);
     BOOST_CHECK(read_answer.term_age == 1'200ms);
+    BOOST_TEST(read_answer.stamp == 1'800U);
     BOOST_CHECK(read_answer.contacts == answer.contacts);
     BOOST_REQUIRE(read_answer.evacuations.size() == 1U);
     BOOST_TEST(read_answer.evacuations.front().data_centre.value() == "dc");
--- a/libs/leadership/src/succession.cpp
+++ b/libs/leadership/src/succession.cpp
@@ -35,11 +35,11 @@
 }
 
 void record_follower(succession& term, const host_id& host, bool told_of_outage, time_point now) {
-    term.followers.insert(host);
-    if (!told_of_outage) {
-        term.unaware.insert(host);
+    const bool is_new = term.followers.insert(host).second;
+    const bool is_newly_unaware = !told_of_outage && term.unaware.insert(host).second;
+    if (is_new || is_newly_unaware) {
+        update_majorities(term, now);
     }
-    update_majorities(term, now);
 }
 
 std::optional<time_point> predecessors_stopped_at(const succession& term,
