Take an answer without a length as whole only after an orderly end

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection. The caller got that part as a complete answer.

Cause: libuv reports UV_EOF for a connection that has hung up after a read that did not fill the buffer, and leaves its pending error unread. The stream believed that end, which is the only thing that completes a body without a length. A trace of the system calls shows EPOLLHUP and EPOLLERR, one read of the body and no further read. Ruled out: a write that takes the error first; the kernel itself reporting an orderly end (a recv at that moment returns ECONNRESET).

Change: at an end that libuv reports, the stream asks the kernel. It reports an orderly end before an error that came after it, so an answer that ended in order before the reset is still taken. Servers, other hosts, the store and the checks of servers are all read through this stream.

--- a/libs/gateway/tests/front_fixture.h
+++ b/libs/gateway/tests/front_fixture.h
@@ -150,11 +150,13 @@
     }
 
     wire::call_result ask(const std::string& method, const std::string& target,
-                          const std::string& deadline = "1000", const std::string& key = "") {
+                          const std::string& deadline = "1000", const std::string& key = "",
+                          const std::string& body = "") {
         wire::client caller(this->loop, {});
         wire::request message;
         message.method = method;
         message.target = target;
+        message.body = body;
         message.headers = {{"Host", "h"}, {"Own-Id", "r1"}, {"Own-Deadline", deadline}};
         if (!key.empty()) {
             message.headers.push_back({"Own-Key", key});
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -440,6 +440,32 @@
     }
 }
 
+// Guards against the part of a response that a server sent before it reset the connection, while
+// the upload was still being written, being taken for the whole.
+BOOST_AUTO_TEST_CASE(response_cut_by_a_reset_is_incomplete) {
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::vector<std::string> heads{head + "\r\n", head + "Connection: close\r\n\r\n",
+                                         head + "Content-Length: 50000\r\n\r\n",
+                                         head + "Transfer-Encoding: chunked\r\n\r\n9C40\r\n"};
+    const std::string upload(8U << 20U, 'b');
+    for (const std::string& begun : heads) {
+        for (const std::size_t size : {10UL, 30'000UL}) {
+            fixture f;
+            raw_peer peer([&](int socket, int) {
+                read_until(socket, "\r\n\r\n");
+                send_text(socket, begun + std::string(size, 'a'));
+                const linger reset{1, 0};
+                setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+            });
+            const answer received = f.exchange(peer.port, post("/", upload));
+            BOOST_TEST(!received.complete, begun << size << " bytes");
+            BOOST_TEST(bool(received.cause), begun << size << " bytes");
+            BOOST_TEST(received.cause != http::http_errc::timeout, begun << size << " bytes");
+            BOOST_TEST((received.sent == http::sent_state::may_have_been_sent));
+        }
+    }
+}
+
 // Guards against a response that is not HTTP and against a connection that closes without one.
 BOOST_AUTO_TEST_CASE(unusable_response_is_a_failure) {
     const std::vector<std::string> broken{
--- a/libs/wire/src/stream.cpp
+++ b/libs/wire/src/stream.cpp
@@ -67,6 +67,19 @@
     }
 }
 
+/// Whether the peer has closed its side in order. libuv also reports the end of the stream when a
+/// connection with a pending error hangs up after a partial read, and does not read that error.
+bool is_closed_in_order(uv_tcp_t& handle) {
+    uv_os_fd_t descriptor = -1;
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): libuv's handle inheritance.
+    if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle), &descriptor) != 0) {
+        return false;
+    }
+    // An orderly end is reported before an error that came after it.
+    char byte = 0;
+    return recv(descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 }  // namespace
 
 result<endpoint> parse_endpoint(std::string_view text) {
@@ -181,7 +194,8 @@
             return;
         }
         if (count < 0) {
-            this->end(count == UV_EOF ? stream_end::closed_by_peer : stream_end::failed);
+            const bool in_order = count == UV_EOF && is_closed_in_order(this->handle);
+            this->end(in_order ? stream_end::closed_by_peer : stream_end::failed);
             return;
         }
         if (this->finishing) {
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -233,6 +233,21 @@
 
     wire::endpoint address() const { return {"127.0.0.1", this->bound_port}; }
 
+    /// Sends bytes on the oldest connection and resets it, with an orderly end of this side before
+    /// on request. What the caller has sent stays unread.
+    void send_and_reset(std::string_view bytes, bool end_in_order) const {
+        const int opened = ::accept(this->descriptor, nullptr, nullptr);
+        BOOST_REQUIRE(opened >= 0);
+        BOOST_REQUIRE(::send(opened, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+                      static_cast<ssize_t>(bytes.size()));
+        if (end_in_order) {
+            BOOST_REQUIRE(::shutdown(opened, SHUT_WR) == 0);
+        }
+        const linger option{1, 0};
+        ::setsockopt(opened, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+        ::close(opened);
+    }
+
     /// Reads the oldest connection until it ends or is silent for 1 s; returns the bytes read.
     std::size_t read_all() const {
         const int opened = ::accept(this->descriptor, nullptr, nullptr);
@@ -453,6 +468,37 @@
     BOOST_TEST(!read.keep_alive);
 }
 
+// Guards against taking the part of an answer that a server sent before it reset the connection
+// for the whole: without a length, only an orderly end completes the answer. An answer that ended
+// in order is whole, even if a reset follows because the upload goes on.
+BOOST_AUTO_TEST_CASE(answer_without_length_is_whole_only_after_an_orderly_end) {
+    constexpr std::size_t upload = 8U << 20U;
+    constexpr gg::milliseconds until_answer{50};
+    for (const bool in_order : {false, true}) {
+        for (const std::size_t size : {10UL, 30'000UL}) {
+            wire::event_loop loop;
+            const unread_peer peer;
+            wire::client client(loop, {});
+            wire::request message = get("/");
+            message.method = "POST";
+            message.body.assign(upload, 'b');
+            const std::string body(size, 'a');
+            // This thread sends both, so that the client sees the body and the reset together.
+            loop.call_after(until_answer, [&] {
+                peer.send_and_reset("HTTP/1.1 200 OK\r\n\r\n" + body, in_order);
+            });
+            const auto result = call(loop, client, peer.address(), message);
+            if (in_order) {
+                BOOST_TEST(!result.error, size << " bytes: " << result.error.message());
+                BOOST_TEST((result.message.body == body), size << " bytes");
+            } else {
+                BOOST_TEST(result.error == make_error_code(wire::wire_errc::reset),
+                           size << " bytes: " << result.error.message());
+            }
+        }
+    }
+}
+
 // Guards against framing an answer whose end is not known: a crashed server closes like one that
 // has finished.
 BOOST_AUTO_TEST_CASE(unframed_response_is_passed_on_unframed) {
