--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -1389,55 +1389,6 @@
     }
 }
 
-// Guards against a caller that gets, as a whole answer, the part that a server sent before it reset
-// the connection while the upload was still being written.
-BOOST_AUTO_TEST_CASE(answer_cut_by_a_reset_during_the_upload_is_a_failure) {
-    const std::string upload(4U << 20U, 'b');
-    for (const std::size_t size : {10UL, 30'000UL}) {
-        front_fixture test;
-        const std::string part =
-            "HTTP/1.1 200 OK\r\nOwn-Id: r1\r\nOwn-Signature: s\r\n\r\n" + std::string(size, 'a');
-        wire::listener listening(test.loop, [&](const std::shared_ptr<wire::stream>& opened) {
-            wire::stream_handlers handlers;
-            handlers.data = [&part, opened](std::string_view) {
-                opened->write(part);
-                opened->close(wire::close_mode::abortive);
-            };
-            opened->set_handlers(std::move(handlers));
-        });
-        BOOST_REQUIRE(!listening.open({"127.0.0.1", 0}));
-        test.add("s1", "plain", {"127.0.0.1", listening.port()});
-        BOOST_TEST(test.ask("POST", "/unsafe/x", "1500", "", upload).message.code == 502, size);
-        fake_server sound(test.loop, [](const auto& asked) { reply(asked, 200, "ok", true); });
-        test.add("s2", "plain", sound.address());
-        BOOST_TEST(test.ask("POST", "/safe/x", "1500", "", upload).message.body == "ok", size);
-    }
-}
-
-// Guards against a caller that gets an answer with a status that is none of HTTP's, and against one
-// that waits until its deadline because the answer was taken for an interim one.
-BOOST_AUTO_TEST_CASE(answer_with_an_invalid_status_is_a_failure) {
-    for (const char* status : {"000", "099", "600", "999"}) {
-        front_fixture test;
-        wire::listener listening(test.loop, [&](const std::shared_ptr<wire::stream>& opened) {
-            wire::stream_handlers handlers;
-            handlers.data = [status, opened](std::string_view) {
-                opened->write(std::string("HTTP/1.1 ") + status +
-                              " X\r\nOwn-Id: r1\r\nOwn-Signature: s\r\nContent-Length: 0\r\n\r\n");
-            };
-            opened->set_handlers(std::move(handlers));
-        });
-        BOOST_REQUIRE(!listening.open({"127.0.0.1", 0}));
-        test.add("s1", "plain", {"127.0.0.1", listening.port()});
-        const gg::time_point before = wire::event_loop::now();
-        BOOST_TEST(test.ask("POST", "/unsafe/x", "1500").message.code == 502, status);
-        BOOST_CHECK(wire::event_loop::now() - before < 1s);
-        fake_server sound(test.loop, [](const auto& asked) { reply(asked, 200, "ok", true); });
-        test.add("s2", "plain", sound.address());
-        BOOST_TEST(test.ask("GET", "/safe/x", "1500").message.code == 200, status);
-    }
-}
-
 // Guards against loads that are out of range or followed by other text, which would overflow sums
 // or let a server appear to have room.
 BOOST_AUTO_TEST_CASE(odd_loads_are_ignored) {
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -447,6 +447,34 @@
     }
 }
 
+// Guards against an answer in whose head the name of a field holds a blank or a control byte, as
+// servers in trouble send: the line would be passed on, or would hide how the body is framed.
+BOOST_AUTO_TEST_CASE(responses_with_invalid_header_names_are_malformed) {
+    const std::string status_line = "HTTP/1.1 200 OK\r\n";
+    const std::string rest = ": 5\r\nContent-Length: 2\r\n\r\nok";
+    std::vector<std::string> names{
+        "", " ", "\t", "Own Load", "Own-Load ", "Own-Load\t", "Content-Length "};
+    for (char c = 0; c < ' '; ++c) {
+        names.push_back(std::string("Own") + c + "Load");
+        if (c != '\r' && c != '\n') {
+            // Alone, these make an empty line, which ends the head.
+            names.push_back(std::string(1, c));
+        }
+        names.push_back(std::string("Own-Load") + c);
+    }
+    names.emplace_back("Own-Load\x7F");
+    for (const std::string& name : names) {
+        for (const std::string& head :
+             {status_line, "HTTP/1.1 103 Early Hints\r\n" + name + ": 5\r\n\r\n" + status_line}) {
+            wire::response_parser parser;
+            std::size_t used = 0;
+            BOOST_TEST(!parser.feed(head + name + rest, used), "name " << name);
+            BOOST_TEST(parser.error() == make_error_code(wire::wire_errc::malformed_response),
+                       "name " << name);
+        }
+    }
+}
+
 // Guards against an answer cut short being taken for a whole one, and against interim answers.
 BOOST_AUTO_TEST_CASE(responses_end_as_they_are_framed) {
     wire::response_parser interim;
