Refuse answers in a transfer coding that is not read

What callers saw: an answer with `Transfer-Encoding: gzip`, or another coding than chunked alone, with its encoded body and without the line that names the coding.

Cause: http-parser takes a coding that it doesn't know for a body that ends with the connection, and one before chunked for plain chunks. The gateway removes Transfer-Encoding, which concerns one connection, and passes the body on. In the daemon libwebsockets reads chunks if chunked is the first of two lines, so `chunked` and then `gzip` were taken; the other forms failed there as answers without a length.

Change: a response whose body is in any coding but chunked alone is malformed, in libs/wire and in libs/http. An answer to HEAD has no body and may name any coding. Requests had this check.

Tests that failed before: gateway_test/answer_in_an_unknown_transfer_coding_is_a_failure, wire_test/responses_in_unknown_transfer_codings_are_malformed (nine codings of nine), http_test/response_in_an_unknown_transfer_coding_is_malformed (taken: one; the others failed as incomplete).

Measured: wire_test, http_test and the new test of gateway_test pass.

--- a/libs/gateway/tests/broken_answers_test.cpp
+++ b/libs/gateway/tests/broken_answers_test.cpp
@@ -100,3 +100,17 @@
         check_answer_is_refused(head + length + name + ": x\r\n" + body);
     }
 }
+
+// Guards against a body in a transfer coding that is not read, passed on as if it were plain: the
+// caller is not told of the coding.
+BOOST_AUTO_TEST_CASE(answer_in_an_unknown_transfer_coding_is_a_failure) {
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nOwn-Id: r1\r\nOwn-Signature: s\r\nTransfer-Encoding: ";
+    for (const std::string coding :
+         {"gzip", "identity", "", "xchunked", "gzip, chunked", "chunked, gzip", "chunked, chunked",
+          "gzip\r\nTransfer-Encoding: chunked", "chunked\r\nTransfer-Encoding: gzip"}) {
+        for (const std::string body : {"2\r\nok\r\n0\r\n\r\n", "plain"}) {
+            check_answer_is_refused(head + coding + "\r\n\r\n" + body);
+        }
+    }
+}
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -423,10 +423,15 @@
            status == status_not_modified;
 }
 
-/// Reads how the end of the body will be known. Returns false if the headers contradict each other.
+/// Reads how the end of the body will be known. Returns false if the headers contradict each other
+/// or name a coding that libwebsockets does not read.
 bool read_framing(exchange& started, int status, const header_list& headers) {
     started.expects_body = !forbids_body(started, status);
-    started.chunked = !find_header(headers, "transfer-encoding").empty();
+    const std::string_view coding = find_header(headers, "transfer-encoding");
+    if (started.expects_body && !coding.empty() && coding != "chunked") {
+        return false;
+    }
+    started.chunked = !coding.empty();
     const std::string_view length = find_header(headers, "content-length");
     if (length.empty()) {
         return true;
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -496,6 +496,25 @@
     }
 }
 
+// Guards against a body in a transfer coding that is not read, passed on as if it were plain.
+BOOST_AUTO_TEST_CASE(response_in_an_unknown_transfer_coding_is_malformed) {
+    for (const std::string coding :
+         {"gzip", "identity", "xchunked", "gzip, chunked", "chunked, gzip", "chunked, chunked",
+          "gzip\r\nTransfer-Encoding: chunked", "chunked\r\nTransfer-Encoding: gzip"}) {
+        for (const std::string body : {"2\r\nok\r\n0\r\n\r\n", "plain"}) {
+            fixture f;
+            raw_peer peer([&](int socket, int) {
+                read_until(socket, "\r\n\r\n");
+                send_text(socket,
+                          "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + body);
+            });
+            const answer received = f.exchange(peer.port, get("/"));
+            BOOST_TEST(!received.complete, coding);
+            BOOST_TEST(received.cause == http::http_errc::malformed_response, coding);
+        }
+    }
+}
+
 // Guards against a connection that goes silent, and against timeouts rounded to seconds.
 BOOST_AUTO_TEST_CASE(silent_server_is_a_timeout) {
     fixture f;
--- a/libs/wire/src/message.cpp
+++ b/libs/wire/src/message.cpp
@@ -186,6 +186,12 @@
     return status >= first_interim_status && status <= last_status && status != switching_protocols;
 }
 
+/// Whether a response's body is read as it was encoded: not at all, or in chunks.
+bool has_known_coding(const header_list& headers) {
+    const std::vector<std::string> codings = header_values(headers, "Transfer-Encoding");
+    return codings.empty() || (codings.size() == 1 && same_name(codings.front(), "chunked"));
+}
+
 http_parser_settings make_settings(bool requests) {
     http_parser_settings settings{};
     settings.on_message_begin = [](http_parser* parser) {
@@ -271,7 +277,8 @@
             ignore_upgrade(*parser);
             if (!is_valid_status(parser->status_code) ||
                 !std::all_of(own.headers.begin(), own.headers.end(), is_clean) ||
-                is_joined(own.reason, own.headers)) {
+                is_joined(own.reason, own.headers) ||
+                (!own.no_body && !has_known_coding(own.headers))) {
                 return own.fail(wire_errc::malformed_response);
             }
             return own.no_body ? 1 : 0;
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -475,6 +475,29 @@
     }
 }
 
+// Guards against a body in a transfer coding that is not read. The answer to HEAD has no body, and
+// may name the coding that a body would have.
+BOOST_AUTO_TEST_CASE(responses_in_unknown_transfer_codings_are_malformed) {
+    const auto read = [](const std::string& coding, bool to_head) {
+        wire::response_parser parser;
+        parser.expect_no_body(to_head);
+        std::size_t used = 0;
+        const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n";
+        return parser.feed(to_head ? head : head + "2\r\nok\r\n0\r\n\r\n", used) ||
+               parser.feed_end();
+    };
+    for (const char* coding :
+         {"gzip", "identity", "", "xchunked", "gzip, chunked", "chunked, gzip", "chunked, chunked",
+          "gzip\r\nTransfer-Encoding: chunked", "chunked\r\nTransfer-Encoding: gzip"}) {
+        BOOST_TEST(!read(coding, false), coding);
+        BOOST_TEST(read(coding, true), coding);
+    }
+    for (const char* coding : {"chunked", "Chunked", " chunked "}) {
+        BOOST_TEST(read(coding, false), coding);
+        BOOST_TEST(read(coding, true), coding);
+    }
+}
+
 // Guards against an answer cut short being taken for a whole one, and against interim answers.
 BOOST_AUTO_TEST_CASE(responses_end_as_they_are_framed) {
     wire::response_parser interim;
