Refuse answers whose status line or ends of lines are outside HTTP/1.1

What callers saw: answers whose status line is none of HTTP/1.1's, such as `HTTP/1.1 0200 OK`, as sound ones; behind a carriage return within the line, an answer whose body was its own head.

Cause: http-parser, as it is packaged, leaves out its strict checks: it takes blanks and zeros before the code, control bytes in the reason, any version, and any byte as the line feed behind a carriage return. In the daemon libwebsockets reads the code up to the first byte that is no digit.

Change: response_syntax reads the head of a response before http-parser does and checks the status line and the ends of lines. A single LF and a status line without a reason are still taken, which other servers send and which cannot be read in two ways. In libs/http the status that libwebsockets has stored is checked.

Measured: wire_test, http_test and the new test of gateway_test pass.

--- a/libs/gateway/tests/broken_answers_test.cpp
+++ b/libs/gateway/tests/broken_answers_test.cpp
@@ -101,6 +101,20 @@
     }
 }
 
+// Guards against a caller that gets an answer whose status line or whose ends of lines are none of
+// HTTP/1.1's, such as one with its head for a body.
+BOOST_AUTO_TEST_CASE(answer_with_broken_lines_is_a_failure) {
+    const std::string rest = "Own-Id: r1\r\nOwn-Signature: s\r\nContent-Length: 2\r\n\r\nok";
+    for (const std::string line :
+         {"HTTP/1.1  200 OK\r\n", "HTTP/1.1 0200 OK\r\n", "HTTP/1.1 200 O\x01K\r\n",
+          "HTTP/2.0 200 OK\r\n", "HTTP/1.1 200\rX", "\r\nHTTP/1.1 200 OK\r\n"}) {
+        check_answer_is_refused(line + rest);
+    }
+    const std::string head = "HTTP/1.1 200 OK\r\nOwn-Id: r1\r\nOwn-Signature: s\r\n";
+    check_answer_is_refused(head + "Content-Length: 2\r\n\rXok");
+    check_answer_is_refused(head + "\r: 5\r\nContent-Length: 2\r\n\r\nok");
+}
+
 // Guards against a body in a transfer coding that is not read, passed on as if it were plain: the
 // caller is not told of the coding.
 BOOST_AUTO_TEST_CASE(answer_in_an_unknown_transfer_coding_is_a_failure) {
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -451,7 +451,7 @@
     client_state& state = *carrier.place->owner;
     const int status = static_cast<int>(lws_http_client_http_response(wsi));
     const header_list headers = read_headers(wsi, state.limits.custom_headers);
-    if (status < first_final_status || status > last_status ||
+    if (status < first_final_status || status > last_status || !has_valid_status(wsi) ||
         header_size(headers) > state.limits.header_bytes ||
         !read_framing(started, status, headers)) {
         fail(state, started, http_errc::malformed_response);
--- a/libs/http/src/lws_headers.cpp
+++ b/libs/http/src/lws_headers.cpp
@@ -106,6 +106,19 @@
     return headers;
 }
 
+bool has_valid_status(lws* connection) {
+    constexpr std::size_t code_digits = 3;
+    const auto token = lws_hdr_total_length(connection, WSI_TOKEN_HTTP1_0) > 0 ? WSI_TOKEN_HTTP1_0
+                                                                               : WSI_TOKEN_HTTP;
+    const std::string status =
+        copy_header(connection, token, lws_hdr_total_length(connection, token));
+    const bool has_code = status.size() >= code_digits &&
+                          std::all_of(status.begin(), status.begin() + code_digits,
+                                      [](char letter) { return letter >= '0' && letter <= '9'; });
+    return has_code && (status.size() == code_digits || status[code_digits] == ' ') &&
+           valid_header_value(status);
+}
+
 std::size_t header_size(const header_list& headers) {
     constexpr std::size_t separators = 4;
     std::size_t size = 0;
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -481,6 +481,15 @@
         "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 999 X\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 20 X\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 0200 X\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 2000 X\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 +200 X\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200X\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200-X\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 X\x01\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/2.0 200 X\r\nContent-Length: 0\r\n\r\n",
+        "\r\nHTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n",
     };
     for (const std::string& text : broken) {
         fixture f;
@@ -496,6 +505,21 @@
     }
 }
 
+// Guards against refusing status lines that other servers send: an older version, or no reason.
+BOOST_AUTO_TEST_CASE(unusual_status_line_is_read) {
+    for (const std::string line : {"HTTP/1.0 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200"}) {
+        fixture f;
+        raw_peer peer([&](int socket, int) {
+            read_until(socket, "\r\n\r\n");
+            send_text(socket, line + "\r\nContent-Length: 2\r\n\r\nok");
+        });
+        const answer received = f.exchange(peer.port, get("/"));
+        BOOST_TEST(received.complete, line << ": " << received.cause.message());
+        BOOST_TEST(received.status == 200, line);
+        BOOST_TEST(received.body == "ok", line);
+    }
+}
+
 // Guards against a body in a transfer coding that is not read, passed on as if it were plain.
 BOOST_AUTO_TEST_CASE(response_in_an_unknown_transfer_coding_is_malformed) {
     for (const std::string coding :
--- a/libs/wire/src/message.cpp
+++ b/libs/wire/src/message.cpp
@@ -1,5 +1,7 @@
 #include "wire/message.h"
 
+#include "response_syntax.h"
+
 #include <http_parser.h>
 #include <strings.h>
 
@@ -95,6 +97,8 @@
     bool value_seen = false;
     bool begun = false;
     bool headers_done = false;
+    /// An interim response has been read; the parser is at the next response.
+    bool interim_done = false;
     bool complete = false;
     bool no_body = false;
     /// Header lines after the body are read and not kept.
@@ -112,6 +116,7 @@
         this->value_seen = false;
         this->begun = false;
         this->headers_done = false;
+        this->interim_done = false;
         this->complete = false;
         this->has_body = false;
     }
@@ -234,11 +239,9 @@
     };
     settings.on_message_complete = [](http_parser* parser) {
         collector& own = of(parser);
-        if (parser->type == HTTP_RESPONSE && parser->status_code < first_final_status) {
-            // Interim response: the parser goes on with the next message.
-            return 0;
-        }
-        own.complete = true;
+        own.interim_done =
+            parser->type == HTTP_RESPONSE && parser->status_code < first_final_status;
+        own.complete = !own.interim_done;
         http_parser_pause(parser, 1);
         return 0;
     };
@@ -292,9 +295,9 @@
          std::size_t& used, wire_errc malformed) {
     used = http_parser_execute(&own.parser, &settings, bytes.data(), bytes.size());
     const auto code = HTTP_PARSER_ERRNO(&own.parser);
-    if (own.complete) {
+    if (code == HPE_PAUSED) {
         http_parser_pause(&own.parser, 0);
-        return true;
+        return own.complete;
     }
     if (code != HPE_OK && !own.failure) {
         own.failure = code == HPE_HEADER_OVERFLOW ? wire_errc::header_too_large : malformed;
@@ -457,6 +460,7 @@
 }
 
 struct response_parser::state : collector {
+    response_syntax syntax;
     bool until_close = false;
 };
 
@@ -485,11 +489,30 @@
 
 bool response_parser::feed(std::string_view bytes, std::size_t& used) {
     static const http_parser_settings settings = make_settings(false);
+    state& own = *this->implementation;
     used = 0;
-    if (this->implementation->failure) {
-        return false;
+    while (used < bytes.size() && !own.failure) {
+        const std::string_view rest = bytes.substr(used);
+        const std::size_t checked = own.syntax.read(rest);
+        if (!own.syntax.is_valid()) {
+            own.failure = wire_errc::malformed_response;
+            return false;
+        }
+        std::size_t parsed = 0;
+        const bool complete =
+            run(own, settings, rest.substr(0, checked), parsed, wire_errc::malformed_response);
+        used += parsed;
+        if (complete) {
+            return true;
+        }
+        if (own.interim_done) {
+            own.interim_done = false;
+            own.syntax = {};
+        } else if (own.syntax.is_head_read()) {
+            own.syntax.begin_body();
+        }
     }
-    return run(*this->implementation, settings, bytes, used, wire_errc::malformed_response);
+    return false;
 }
 
 bool response_parser::feed_end() {
@@ -532,6 +555,7 @@
     message.until_close = own.until_close;
     message.keep_alive = !own.until_close && http_should_keep_alive(&own.parser) != 0;
     own.reset();
+    own.syntax = {};
     http_parser_init(&own.parser, HTTP_RESPONSE);
     own.parser.data = static_cast<collector*>(&own);
     return message;
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -20,6 +20,7 @@
 #include <fstream>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -475,6 +476,75 @@
     }
 }
 
+// Guards against an answer whose status line is none of HTTP/1.1's, or whose head has a carriage
+// return that ends no line: what follows it would be read as another part of the answer, such as
+// the head as the body.
+BOOST_AUTO_TEST_CASE(responses_with_broken_lines_are_malformed) {
+    const std::string rest = "Content-Length: 2\r\n\r\nok";
+    const std::string line = "HTTP/1.1 200 OK\r\n";
+    const auto read = [](const std::string& bytes, std::size_t step) {
+        wire::response_parser parser;
+        bool complete = false;
+        for (std::size_t at = 0; at < bytes.size() && !complete && !parser.error(); at += step) {
+            std::size_t used = 0;
+            complete = parser.feed(std::string_view(bytes).substr(at, step), used);
+        }
+        return complete || parser.feed_end() ? std::optional(parser.take()) : std::nullopt;
+    };
+    const std::vector<std::string> broken{
+        "HTTP/1.1  200 OK\r\n" + rest,
+        "HTTP/1.1 0200 OK\r\n" + rest,
+        "HTTP/1.1 00200 OK\r\n" + rest,
+        "HTTP/1.1 2000 OK\r\n" + rest,
+        "HTTP/1.1 20 OK\r\n" + rest,
+        "HTTP/1.1 200OK\r\n" + rest,
+        "HTTP/1.1 200\tOK\r\n" + rest,
+        "HTTP/1.1 +200 OK\r\n" + rest,
+        "HTTP/1.1 200 O\x01K\r\n" + rest,
+        "HTTP/1.1 200 OK\x7F\r\n" + rest,
+        std::string("HTTP/1.1 200 O\0K\r\n", 18) + rest,
+        "HTTP/1.1 200 O\rK\r\n" + rest,
+        "HTTP/1.1 200 OK\r" + rest,
+        "HTTP/1.1 200\r" + rest,
+        "HTTP/1.1 200\rX" + rest,
+        "HTTP/0.9 200 OK\r\n" + rest,
+        "HTTP/2.0 200 OK\r\n" + rest,
+        "HTTP/1. 200 OK\r\n" + rest,
+        "http/1.1 200 OK\r\n" + rest,
+        "\r\n" + line + rest,
+        "\r" + line + rest,
+        line + "\r: 5\r\n" + rest,
+        line + "Own-Load: 5\r6\r\n" + rest,
+        line + "Own-Load: 5\r\r\n" + rest,
+        line + "Content-Length: 2\r\n\rXok",
+        "HTTP/1.1 103 Early Hints\r\n\rX" + line + rest,
+        "HTTP/1.1 103 Early Hints\r\n\r\n\r\n" + line + rest,
+        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 0200 OK\r\n" + rest,
+    };
+    for (const std::string& bytes : broken) {
+        for (const std::size_t step : {bytes.size(), std::size_t{1}}) {
+            BOOST_TEST(!read(bytes, step).has_value(), bytes);
+        }
+    }
+    const std::vector<std::string> sound{
+        line + rest,
+        "HTTP/1.0 200 OK\r\n" + rest,
+        "HTTP/1.1 200 \r\n" + rest,
+        "HTTP/1.1 200\r\n" + rest,
+        "HTTP/1.1 200 \xC3\x84\tB\r\n" + rest,
+        "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
+        "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + line + rest,
+    };
+    for (const std::string& bytes : sound) {
+        for (const std::size_t step : {bytes.size(), std::size_t{1}}) {
+            const auto message = read(bytes, step);
+            BOOST_REQUIRE_MESSAGE(message.has_value(), bytes);
+            BOOST_TEST(message->code == 200, bytes);
+            BOOST_TEST(message->body == "ok", bytes);
+        }
+    }
+}
+
 // Guards against a body in a transfer coding that is not read. The answer to HEAD has no body, and
 // may name the coding that a body would have.
 BOOST_AUTO_TEST_CASE(responses_in_unknown_transfer_codings_are_malformed) {
