Refuse answers whose chunks are outside HTTP/1.1

What callers saw: a 200 whose body came in chunks with a wrong size or end, as a sound answer.

Cause: http-parser, as it is packaged, takes any two bytes for the end of a chunk's data, any byte behind a carriage return, any text behind a blank in the line with the size, and any byte as the end of the trailers. The check of the lines of the head stopped at the head.

Change: response_syntax goes on through chunked bodies: sizes, extensions, the ends of data and the trailers. Blanks behind a size are still taken, which other servers send. The body's bytes are passed over, not looked at.

Measured: wire_test and the new test of gateway_test pass.

--- a/libs/gateway/tests/broken_answers_test.cpp
+++ b/libs/gateway/tests/broken_answers_test.cpp
@@ -115,6 +115,18 @@
     check_answer_is_refused(head + "\r: 5\r\nContent-Length: 2\r\n\r\nok");
 }
 
+// Guards against a caller that gets a body made of chunks whose sizes or ends are none of
+// HTTP/1.1's.
+BOOST_AUTO_TEST_CASE(answer_with_broken_chunks_is_a_failure) {
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nOwn-Id: r1\r\nOwn-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const char* body :
+         {"2\r\nokXX0\r\n\r\n", "2\r\nok\r\r0\r\n\r\n", "2\rXok\r\n0\r\n\r\n",
+          "2 x\r\nok\r\n0\r\n\r\n", "2\r\nok\r\n0\r\n\rX", "2\r\nok\r\n0\rXOwn-Sum: 5\r\n\r\n"}) {
+        check_answer_is_refused(head + body);
+    }
+}
+
 // Guards against a body in a transfer coding that is not read, passed on as if it were plain: the
 // caller is not told of the coding.
 BOOST_AUTO_TEST_CASE(answer_in_an_unknown_transfer_coding_is_a_failure) {
--- a/libs/wire/src/message.cpp
+++ b/libs/wire/src/message.cpp
@@ -494,7 +494,8 @@
     while (used < bytes.size() && !own.failure) {
         const std::string_view rest = bytes.substr(used);
         const std::size_t checked = own.syntax.read(rest);
-        if (!own.syntax.is_valid()) {
+        // Nothing is left to check if the parser takes more than the last chunk's trailers.
+        if (!own.syntax.is_valid() || checked == 0) {
             own.failure = wire_errc::malformed_response;
             return false;
         }
@@ -509,7 +510,7 @@
             own.interim_done = false;
             own.syntax = {};
         } else if (own.syntax.is_head_read()) {
-            own.syntax.begin_body();
+            own.syntax.begin_body((own.parser.flags & F_CHUNKED) != 0);
         }
     }
     return false;
--- a/libs/wire/src/response_syntax.cpp
+++ b/libs/wire/src/response_syntax.cpp
@@ -11,7 +11,7 @@
     return c >= '0' && c <= '9';
 }
 
-/// Whether a byte may stand in a reason phrase.
+/// Whether a byte may stand in a reason phrase or behind the size of a chunk.
 bool is_text(char c) {
     constexpr unsigned char first_printable = 0x20;
     constexpr unsigned char del = 0x7F;
@@ -19,19 +19,42 @@
     return c == '\t' || (byte >= first_printable && byte != del);
 }
 
+/// Value of a hexadecimal digit; -1 for other bytes.
+int hex_value(char c) {
+    constexpr int ten = 10;
+    if (is_digit(c)) {
+        return c - '0';
+    }
+    if (c >= 'a' && c <= 'f') {
+        return c - 'a' + ten;
+    }
+    return c >= 'A' && c <= 'F' ? c - 'A' + ten : -1;
+}
+
 }  // namespace
 
 std::size_t response_syntax::read(std::string_view bytes) {
     std::size_t used = 0;
     while (used < bytes.size()) {
         switch (this->part) {
-            case place::body:
+            case place::unchunked_body:
                 return bytes.size();
             case place::head_end:
+            case place::chunks_end:
             case place::invalid:
                 return used;
-            case place::status_line:
-            case place::header_lines:
+            case place::chunk_data: {
+                const std::size_t rest = bytes.size() - used;
+                const std::size_t size =
+                    this->chunk_left < rest ? static_cast<std::size_t>(this->chunk_left) : rest;
+                this->chunk_left -= size;
+                used += size;
+                if (this->chunk_left == 0) {
+                    this->part = place::chunk_data_end;
+                }
+                break;
+            }
+            default:
                 this->part = this->after(bytes[used]);
                 ++used;
         }
@@ -39,6 +62,10 @@
     return used;
 }
 
+void response_syntax::begin_body(bool chunked) {
+    this->part = chunked ? place::chunk_size : place::unchunked_body;
+}
+
 /// The place behind a byte of a line.
 response_syntax::place response_syntax::after(char c) {
     if (this->carriage_return_read) {
@@ -50,20 +77,71 @@
         return this->part;
     }
     if (c == '\n') {
-        return this->after_line_end();
+        return this->allows_single_line_feed() ? this->after_line_end() : place::invalid;
     }
-    const bool fits = this->part != place::status_line || this->fits_status_line(c);
+    const place next = this->after_text(c);
     ++this->column;
-    return fits ? this->part : place::invalid;
+    return next;
+}
+
+/// The place behind a byte that is no part of a line's end.
+response_syntax::place response_syntax::after_text(char c) {
+    switch (this->part) {
+        case place::status_line:
+            return this->fits_status_line(c) ? this->part : place::invalid;
+        case place::chunk_size:
+        case place::chunk_padding:
+            return this->after_chunk_size(c);
+        case place::chunk_extension:
+            return is_text(c) ? this->part : place::invalid;
+        case place::header_lines:
+        case place::trailer_lines:
+            return this->part;
+        default:
+            return place::invalid;
+    }
 }
 
 response_syntax::place response_syntax::after_line_end() {
     const std::size_t size = this->column;
     this->column = 0;
-    if (this->part == place::status_line) {
-        return size >= status_line_pattern.size() ? place::header_lines : place::invalid;
+    switch (this->part) {
+        case place::status_line:
+            return size >= status_line_pattern.size() ? place::header_lines : place::invalid;
+        case place::header_lines:
+            return size == 0 ? place::head_end : this->part;
+        case place::chunk_size:
+        case place::chunk_padding:
+        case place::chunk_extension:
+            if (size == 0) {
+                return place::invalid;
+            }
+            return this->chunk_left == 0 ? place::trailer_lines : place::chunk_data;
+        case place::chunk_data_end:
+            return place::chunk_size;
+        case place::trailer_lines:
+            return size == 0 ? place::chunks_end : this->part;
+        default:
+            return place::invalid;
+    }
+}
+
+response_syntax::place response_syntax::after_chunk_size(char c) {
+    constexpr unsigned bits_of_digit = 4;
+    constexpr unsigned bits_of_size = 64;
+    const int digit = hex_value(c);
+    if (digit >= 0) {
+        const bool fits = this->chunk_left >> (bits_of_size - bits_of_digit) == 0;
+        this->chunk_left = (this->chunk_left << bits_of_digit) | static_cast<std::uint64_t>(digit);
+        return this->part == place::chunk_size && fits ? this->part : place::invalid;
     }
-    return size == 0 ? place::head_end : place::header_lines;
+    if (this->column == 0) {
+        return place::invalid;
+    }
+    if (c == ';') {
+        return place::chunk_extension;
+    }
+    return c == ' ' || c == '\t' ? place::chunk_padding : place::invalid;
 }
 
 bool response_syntax::fits_status_line(char c) const {
@@ -74,4 +152,9 @@
     return this->column == status_line_pattern.size() ? c == ' ' : is_text(c);
 }
 
+bool response_syntax::allows_single_line_feed() const {
+    return this->part == place::status_line || this->part == place::header_lines ||
+           this->part == place::trailer_lines;
+}
+
 }  // namespace greengagechute::wire
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -69,6 +69,17 @@
     return false;
 }
 
+/// Reads a response that its server closes behind, given in pieces of `step` bytes.
+std::optional<wire::response> read_response(std::string_view bytes, std::size_t step) {
+    wire::response_parser parser;
+    bool complete = false;
+    for (std::size_t at = 0; at < bytes.size() && !complete && !parser.error(); at += step) {
+        std::size_t used = 0;
+        complete = parser.feed(bytes.substr(at, step), used);
+    }
+    return complete || parser.feed_end() ? std::optional(parser.take()) : std::nullopt;
+}
+
 bool is_refused(std::string_view bytes) {
     wire::request_parser parser;
     wire::request read;
@@ -482,15 +493,6 @@
 BOOST_AUTO_TEST_CASE(responses_with_broken_lines_are_malformed) {
     const std::string rest = "Content-Length: 2\r\n\r\nok";
     const std::string line = "HTTP/1.1 200 OK\r\n";
-    const auto read = [](const std::string& bytes, std::size_t step) {
-        wire::response_parser parser;
-        bool complete = false;
-        for (std::size_t at = 0; at < bytes.size() && !complete && !parser.error(); at += step) {
-            std::size_t used = 0;
-            complete = parser.feed(std::string_view(bytes).substr(at, step), used);
-        }
-        return complete || parser.feed_end() ? std::optional(parser.take()) : std::nullopt;
-    };
     const std::vector<std::string> broken{
         "HTTP/1.1  200 OK\r\n" + rest,
         "HTTP/1.1 0200 OK\r\n" + rest,
@@ -523,7 +525,7 @@
     };
     for (const std::string& bytes : broken) {
         for (const std::size_t step : {bytes.size(), std::size_t{1}}) {
-            BOOST_TEST(!read(bytes, step).has_value(), bytes);
+            BOOST_TEST(!read_response(bytes, step).has_value(), bytes);
         }
     }
     const std::vector<std::string> sound{
@@ -537,7 +539,7 @@
     };
     for (const std::string& bytes : sound) {
         for (const std::size_t step : {bytes.size(), std::size_t{1}}) {
-            const auto message = read(bytes, step);
+            const auto message = read_response(bytes, step);
             BOOST_REQUIRE_MESSAGE(message.has_value(), bytes);
             BOOST_TEST(message->code == 200, bytes);
             BOOST_TEST(message->body == "ok", bytes);
@@ -545,6 +547,67 @@
     }
 }
 
+// Guards against chunks whose size or end is none of HTTP/1.1's: a server that states a wrong size,
+// or breaks off and goes on with something else, sends bytes that are not its body.
+BOOST_AUTO_TEST_CASE(responses_with_broken_chunks_are_malformed) {
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string last = "0\r\n\r\n";
+    const std::vector<std::string> broken{
+        // The end of the data.
+        "2\r\nokXX" + last,
+        "2\r\nok\r\r" + last,
+        "2\r\nok\nX" + last,
+        "2\r\nokX\n" + last,
+        "2\r\nok\n" + last,
+        "2\r\nok" + last,
+        "2\r\nok\r\n\r\n" + last,
+        "3\r\nok\r\n" + last,
+        // The line with the size.
+        "2\rXok\r\n" + last,
+        "2\nok\r\n" + last,
+        "2 x\r\nok\r\n" + last,
+        "2 2\r\nok\r\n" + last,
+        " 2\r\nok\r\n" + last,
+        "-2\r\nok\r\n" + last,
+        "0x2\r\nok\r\n" + last,
+        "2;a\x01\r\nok\r\n" + last,
+        "2;a\rXok\r\n" + last,
+        ";a=b\r\nok\r\n" + last,
+        "\r\nok\r\n" + last,
+        "10000000000000002\r\nok\r\n" + last,
+        // The last chunk.
+        "2\r\nok\r\n\r\n",
+        "2\r\nok\r\n0\r\n\rX",
+        "2\r\nok\r\n0\rX\r\n",
+        "2\r\nok\r\n0\rXOwn-Sum: 5\r\n\r\n",
+        "2\r\nok\r\n0\r\nOwn-Sum: 5\r\n\rX",
+        "2\r\nok\r\n0\n\n",
+        "2\r\nok\r\n0\r\n",
+    };
+    for (const std::string& body : broken) {
+        for (const std::size_t step : {head.size() + body.size(), std::size_t{1}}) {
+            BOOST_TEST(!read_response(head + body, step).has_value(), body);
+        }
+    }
+    const std::vector<std::string> sound{"2\r\nok\r\n" + last,
+                                         "1\r\no\r\n1\r\nk\r\n" + last,
+                                         "02\r\nok\r\n00\r\n\r\n",
+                                         "000000000000000000002\r\nok\r\n" + last,
+                                         "2  \r\nok\r\n" + last,
+                                         "2;a=b\r\nok\r\n" + last,
+                                         "2 ; a=\"b\"\r\nok\r\n" + last,
+                                         "2\r\nok\r\n0\r\nOwn-Sum: 5\r\n\r\n",
+                                         "2\r\nok\r\n0\r\nOwn-Sum: 5\n\n"};
+    for (const std::string& body : sound) {
+        for (const std::size_t step : {head.size() + body.size(), std::size_t{1}}) {
+            const auto message = read_response(head + body, step);
+            BOOST_REQUIRE_MESSAGE(message.has_value(), body);
+            BOOST_TEST(message->body == "ok", body);
+            BOOST_TEST(message->keep_alive, body);
+        }
+    }
+}
+
 // Guards against a body in a transfer coding that is not read. The answer to HEAD has no body, and
 // may name the coding that a body would have.
 BOOST_AUTO_TEST_CASE(responses_in_unknown_transfer_codings_are_malformed) {
