Name the parts of the response check after a read-through

Cause: names such as `part` of type `place` said little, and the linter refuses texts that are joined in loops.

Change: response_syntax speaks of elements of the grammar; tests build their answers in functions.

Measured: wire_test, http_test and the tests of broken_answers_test.cpp pass; the linter accepts the three test files.

--- a/libs/gateway/tests/broken_answers_test.cpp
+++ b/libs/gateway/tests/broken_answers_test.cpp
@@ -89,15 +89,19 @@
     const std::string head = "HTTP/1.1 200 OK\r\nOwn-Id: r1\r\nOwn-Signature: s\r\n";
     const std::string length = "Content-Length: 12\r\n";
     const std::string body = "\r\n2\r\nok\r\n0\r\n\r\n";
+    const auto check = [&](const std::string& before, const std::string& name,
+                           const std::string& after) {
+        check_answer_is_refused(head + before + name + ": chunked\r\n" + after + body);
+    };
     for (const std::string name :
          {"Own Load", "Own-Load ", "Own\tLoad", "Own-Load\x01", "Own\x1FLoad", "Own-Load\x7F",
           "Transfer-Encoding ", "Transfer-Encoding\t", "Transfer\x01-Encoding"}) {
-        check_answer_is_refused(head + length + name + ": chunked\r\n" + body);
-        check_answer_is_refused(head + name + ": chunked\r\n" + length + body);
-        check_answer_is_refused(head + name + ": chunked\r\n" + body);
+        check(length, name, "");
+        check("", name, length);
+        check("", name, "");
     }
     for (const std::string& name : {std::string("Own\0Load", 8), std::string("\0", 1)}) {
-        check_answer_is_refused(head + length + name + ": x\r\n" + body);
+        check(length, name, "");
     }
 }
 
@@ -132,11 +136,13 @@
 BOOST_AUTO_TEST_CASE(answer_in_an_unknown_transfer_coding_is_a_failure) {
     const std::string head =
         "HTTP/1.1 200 OK\r\nOwn-Id: r1\r\nOwn-Signature: s\r\nTransfer-Encoding: ";
-    for (const std::string coding :
+    const auto check = [&head](const std::string& coding, const std::string& body) {
+        check_answer_is_refused(head + coding + "\r\n\r\n" + body);
+    };
+    for (const char* coding :
          {"gzip", "identity", "", "xchunked", "gzip, chunked", "chunked, gzip", "chunked, chunked",
           "gzip\r\nTransfer-Encoding: chunked", "chunked\r\nTransfer-Encoding: gzip"}) {
-        for (const std::string body : {"2\r\nok\r\n0\r\n\r\n", "plain"}) {
-            check_answer_is_refused(head + coding + "\r\n\r\n" + body);
-        }
+        check(coding, "2\r\nok\r\n0\r\n\r\n");
+        check(coding, "plain");
     }
 }
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -538,12 +538,15 @@
 BOOST_AUTO_TEST_CASE(response_with_an_invalid_header_name_is_refused) {
     const std::string line = "HTTP/1.1 200 OK\r\n";
     const std::string rest = "Content-Length: 12\r\n\r\n2\r\nok\r\n0\r\n\r\n";
-    for (const std::string name : {"X Load", "X-Load ", "X-Load\t", "X-Load\x01", "X\x1FLoad",
-                                   "X-Load\x7F", "Transfer-Encoding ", "Transfer-Encoding\t",
-                                   "Transfer\x01-Encoding", "Content-Length "}) {
+    const auto check = [&](const std::string& name) {
         check_is_refused(line + name + ": chunked\r\n" + rest);
+    };
+    for (const char* name : {"X Load", "X-Load ", "X-Load\t", "X-Load\x01", "X\x1FLoad",
+                             "X-Load\x7F", "Transfer-Encoding ", "Transfer-Encoding\t",
+                             "Transfer\x01-Encoding", "Content-Length "}) {
+        check(name);
     }
-    check_is_refused(line + std::string("X\0Load", 6) + ": 5\r\n" + rest);
+    check(std::string("X\0Load", 6));
 }
 
 // Guards against blanks and carriage returns that libwebsockets skips in a status line.
@@ -570,20 +573,22 @@
 
 // Guards against a body in a transfer coding that is not read, passed on as if it were plain.
 BOOST_AUTO_TEST_CASE(response_in_an_unknown_transfer_coding_is_malformed) {
-    for (const std::string coding :
+    const auto check = [](const std::string& coding, const std::string& body) {
+        fixture f;
+        raw_peer peer([&](int socket, int) {
+            read_until(socket, "\r\n\r\n");
+            send_text(socket,
+                      "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + body);
+        });
+        const answer received = f.exchange(peer.port, get("/"));
+        BOOST_TEST(!received.complete, coding);
+        BOOST_TEST(received.cause == http::http_errc::malformed_response, coding);
+    };
+    for (const char* coding :
          {"gzip", "identity", "xchunked", "gzip, chunked", "chunked, gzip", "chunked, chunked",
           "gzip\r\nTransfer-Encoding: chunked", "chunked\r\nTransfer-Encoding: gzip"}) {
-        for (const std::string body : {"2\r\nok\r\n0\r\n\r\n", "plain"}) {
-            fixture f;
-            raw_peer peer([&](int socket, int) {
-                read_until(socket, "\r\n\r\n");
-                send_text(socket,
-                          "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + body);
-            });
-            const answer received = f.exchange(peer.port, get("/"));
-            BOOST_TEST(!received.complete, coding);
-            BOOST_TEST(received.cause == http::http_errc::malformed_response, coding);
-        }
+        check(coding, "2\r\nok\r\n0\r\n\r\n");
+        check(coding, "plain");
     }
 }
 
--- a/libs/wire/include/wire/message.h
+++ b/libs/wire/include/wire/message.h
@@ -94,7 +94,8 @@
     std::unique_ptr<state> implementation;
 };
 
-/// Reads responses from a byte stream, one at a time; interim responses are skipped.
+/// Reads responses from a byte stream, one at a time; interim responses are skipped. Bytes outside
+/// the grammar of HTTP/1.1 and transfer codings other than chunked are errors.
 class response_parser {
 public:
     response_parser();
--- a/libs/wire/src/message.cpp
+++ b/libs/wire/src/message.cpp
@@ -494,7 +494,7 @@
     while (used < bytes.size() && !own.failure) {
         const std::string_view rest = bytes.substr(used);
         const std::size_t checked = own.syntax.read(rest);
-        // Nothing is left to check if the parser takes more than the last chunk's trailers.
+        // Without anything checked, the parser would read on behind the last chunk's trailers.
         if (!own.syntax.is_valid() || checked == 0) {
             own.failure = wire_errc::malformed_response;
             return false;
--- a/libs/wire/src/response_syntax.cpp
+++ b/libs/wire/src/response_syntax.cpp
@@ -36,26 +36,26 @@
 std::size_t response_syntax::read(std::string_view bytes) {
     std::size_t used = 0;
     while (used < bytes.size()) {
-        switch (this->part) {
-            case place::unchunked_body:
+        switch (this->current) {
+            case element::unchunked_body:
                 return bytes.size();
-            case place::head_end:
-            case place::chunks_end:
-            case place::invalid:
+            case element::head_end:
+            case element::chunks_end:
+            case element::invalid:
                 return used;
-            case place::chunk_data: {
+            case element::chunk_data: {
                 const std::size_t rest = bytes.size() - used;
                 const std::size_t size =
                     this->chunk_left < rest ? static_cast<std::size_t>(this->chunk_left) : rest;
                 this->chunk_left -= size;
                 used += size;
                 if (this->chunk_left == 0) {
-                    this->part = place::chunk_data_end;
+                    this->current = element::chunk_data_end;
                 }
                 break;
             }
             default:
-                this->part = this->after(bytes[used]);
+                this->current = this->after_byte(bytes[used]);
                 ++used;
         }
     }
@@ -63,85 +63,85 @@
 }
 
 void response_syntax::begin_body(bool chunked) {
-    this->part = chunked ? place::chunk_size : place::unchunked_body;
+    this->current = chunked ? element::chunk_size : element::unchunked_body;
 }
 
-/// The place behind a byte of a line.
-response_syntax::place response_syntax::after(char c) {
+/// The element behind a byte of a line.
+response_syntax::element response_syntax::after_byte(char c) {
     if (this->carriage_return_read) {
         this->carriage_return_read = false;
-        return c == '\n' ? this->after_line_end() : place::invalid;
+        return c == '\n' ? this->after_line_end() : element::invalid;
     }
     if (c == '\r') {
         this->carriage_return_read = true;
-        return this->part;
+        return this->current;
     }
     if (c == '\n') {
-        return this->allows_single_line_feed() ? this->after_line_end() : place::invalid;
+        return this->allows_single_line_feed() ? this->after_line_end() : element::invalid;
     }
-    const place next = this->after_text(c);
+    const element next = this->after_text(c);
     ++this->column;
     return next;
 }
 
-/// The place behind a byte that is no part of a line's end.
-response_syntax::place response_syntax::after_text(char c) {
-    switch (this->part) {
-        case place::status_line:
-            return this->fits_status_line(c) ? this->part : place::invalid;
-        case place::chunk_size:
-        case place::chunk_padding:
+/// The element behind a byte that is no part of a line's end.
+response_syntax::element response_syntax::after_text(char c) {
+    switch (this->current) {
+        case element::status_line:
+            return this->fits_status_line(c) ? this->current : element::invalid;
+        case element::chunk_size:
+        case element::chunk_padding:
             return this->after_chunk_size(c);
-        case place::chunk_extension:
-            return is_text(c) ? this->part : place::invalid;
-        case place::header_lines:
-        case place::trailer_lines:
-            return this->part;
+        case element::chunk_extension:
+            return is_text(c) ? this->current : element::invalid;
+        case element::header_lines:
+        case element::trailer_lines:
+            return this->current;
         default:
-            return place::invalid;
+            return element::invalid;
     }
 }
 
-response_syntax::place response_syntax::after_line_end() {
+response_syntax::element response_syntax::after_line_end() {
     const std::size_t size = this->column;
     this->column = 0;
-    switch (this->part) {
-        case place::status_line:
-            return size >= status_line_pattern.size() ? place::header_lines : place::invalid;
-        case place::header_lines:
-            return size == 0 ? place::head_end : this->part;
-        case place::chunk_size:
-        case place::chunk_padding:
-        case place::chunk_extension:
+    switch (this->current) {
+        case element::status_line:
+            return size >= status_line_pattern.size() ? element::header_lines : element::invalid;
+        case element::header_lines:
+            return size == 0 ? element::head_end : this->current;
+        case element::chunk_size:
+        case element::chunk_padding:
+        case element::chunk_extension:
             if (size == 0) {
-                return place::invalid;
+                return element::invalid;
             }
-            return this->chunk_left == 0 ? place::trailer_lines : place::chunk_data;
-        case place::chunk_data_end:
-            return place::chunk_size;
-        case place::trailer_lines:
-            return size == 0 ? place::chunks_end : this->part;
+            return this->chunk_left == 0 ? element::trailer_lines : element::chunk_data;
+        case element::chunk_data_end:
+            return element::chunk_size;
+        case element::trailer_lines:
+            return size == 0 ? element::chunks_end : this->current;
         default:
-            return place::invalid;
+            return element::invalid;
     }
 }
 
-response_syntax::place response_syntax::after_chunk_size(char c) {
+response_syntax::element response_syntax::after_chunk_size(char c) {
     constexpr unsigned bits_of_digit = 4;
     constexpr unsigned bits_of_size = 64;
     const int digit = hex_value(c);
     if (digit >= 0) {
         const bool fits = this->chunk_left >> (bits_of_size - bits_of_digit) == 0;
         this->chunk_left = (this->chunk_left << bits_of_digit) | static_cast<std::uint64_t>(digit);
-        return this->part == place::chunk_size && fits ? this->part : place::invalid;
+        return this->current == element::chunk_size && fits ? this->current : element::invalid;
     }
     if (this->column == 0) {
-        return place::invalid;
+        return element::invalid;
     }
     if (c == ';') {
-        return place::chunk_extension;
+        return element::chunk_extension;
     }
-    return c == ' ' || c == '\t' ? place::chunk_padding : place::invalid;
+    return c == ' ' || c == '\t' ? element::chunk_padding : element::invalid;
 }
 
 bool response_syntax::fits_status_line(char c) const {
@@ -153,8 +153,8 @@
 }
 
 bool response_syntax::allows_single_line_feed() const {
-    return this->part == place::status_line || this->part == place::header_lines ||
-           this->part == place::trailer_lines;
+    return this->current == element::status_line || this->current == element::header_lines ||
+           this->current == element::trailer_lines;
 }
 
 }  // namespace greengagechute::wire
--- a/libs/wire/src/response_syntax.h
+++ b/libs/wire/src/response_syntax.h
@@ -21,12 +21,12 @@
     /// Says how the body that follows is framed. Valid if `is_head_read`.
     void begin_body(bool chunked);
 
-    bool is_valid() const { return this->part != place::invalid; }
+    bool is_valid() const { return this->current != element::invalid; }
     /// The head has been read, and `begin_body` has not been called since.
-    bool is_head_read() const { return this->part == place::head_end; }
+    bool is_head_read() const { return this->current == element::head_end; }
 
 private:
-    enum class place {
+    enum class element {
         status_line,
         header_lines,
         head_end,
@@ -43,14 +43,14 @@
         invalid,
     };
 
-    place after(char c);
-    place after_text(char c);
-    place after_line_end();
-    place after_chunk_size(char c);
+    element after_byte(char c);
+    element after_text(char c);
+    element after_line_end();
+    element after_chunk_size(char c);
     bool fits_status_line(char c) const;
     bool allows_single_line_feed() const;
 
-    place part = place::status_line;
+    element current = element::status_line;
     /// Bytes of the current line.
     std::size_t column = 0;
     bool carriage_return_read = false;
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -475,15 +475,19 @@
         names.push_back(std::string("Own-Load") + c);
     }
     names.emplace_back("Own-Load\x7F");
+    const auto check = [](const std::string& bytes) {
+        wire::response_parser parser;
+        std::size_t used = 0;
+        BOOST_TEST(!parser.feed(bytes, used), bytes);
+        BOOST_TEST(parser.error() == make_error_code(wire::wire_errc::malformed_response), bytes);
+    };
+    const auto final_head = [&](const std::string& name) { return status_line + name + rest; };
+    const auto interim_head = [](const std::string& name) {
+        return "HTTP/1.1 103 Early Hints\r\n" + name + ": 5\r\n\r\n";
+    };
     for (const std::string& name : names) {
-        for (const std::string& head :
-             {status_line, "HTTP/1.1 103 Early Hints\r\n" + name + ": 5\r\n\r\n" + status_line}) {
-            wire::response_parser parser;
-            std::size_t used = 0;
-            BOOST_TEST(!parser.feed(head + name + rest, used), "name " << name);
-            BOOST_TEST(parser.error() == make_error_code(wire::wire_errc::malformed_response),
-                       "name " << name);
-        }
+        check(final_head(name));
+        check(interim_head(name) + final_head("Own-Load"));
     }
 }
 
