Let the test of cut answers wait for its client on a slow machine

Cause: the stand-in answered 50 ms after the call was prepared. On a machine that takes longer to prepare 8 MiB, the answer would have come before the client had connected, and the test would have failed for that.

Change: the 50 ms begin in the loop, whose first turn connects the client. No check has changed.

--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -671,9 +671,12 @@
             message.method = "POST";
             message.body.assign(upload, 'b');
             const std::string body(size, 'a');
-            // This thread sends both, so that the client sees the body and the reset together.
-            loop.call_after(until_answer, [&] {
-                peer.send_and_reset("HTTP/1.1 200 OK\r\n\r\n" + body, in_order);
+            // This thread sends both, so that the client sees the body and the reset together. The
+            // inner timer starts in the loop, and so ends after the client has begun its upload.
+            loop.call_after(gg::milliseconds{0}, [&] {
+                loop.call_after(until_answer, [&] {
+                    peer.send_and_reset("HTTP/1.1 200 OK\r\n\r\n" + body, in_order);
+                });
             });
             const auto result = call(loop, client, peer.address(), message);
             if (in_order) {
