Read the daemon's answers with the grammar of HTTP/1.1

What callers saw: the daemon took answers in whose head the name of a field held a blank or a control byte. The line was not passed on, but where it hid a Transfer-Encoding, a length beside it framed the body, which then was not the server's. It also took blanks and carriage returns in status lines, heads made of two answers, an empty chunk size for the last chunk, and the lower 32 bits of larger sizes. An answer that a server sent whole before it had read the upload was lost, whether or not a reset followed.

Cause: the HTTP role of libwebsockets takes such heads and chunks and gives no access to their bytes. It reads no answer while the upload is blocked: such an exchange ended with a timeout, or as closed after a reset.

Change: the client uses connections of libwebsockets in the raw role. wire::response_parser, which reads the gateway's answers, reads what they receive; it can give a body in parts. Requests go out with send, so that answers are read meanwhile. A connection is used again only if all of the request was sent and nothing follows the answer.

Why this works: gateway and daemon now read answers with one parser, which refuses these heads and chunks before any of them is passed on.

Ruled out: a check of the bytes that libwebsockets is about to read, by a peek at the socket. More can arrive between the peek and the read.

--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -13,6 +13,7 @@
 set(GG_LAYER_adapter 4)
 set(GG_SAME_LAYER_ownership placement)
 set(GG_SAME_LAYER_dispatch ranges)
+set(GG_SAME_LAYER_http wire)
 set(GG_SAME_LAYER_platform http)
 set(GG_SAME_LAYER_upstream http)
 
--- a/libs/http/include/http/client.h
+++ b/libs/http/include/http/client.h
@@ -46,7 +46,8 @@
 };
 
 /// An HTTP/1.1 client on an event loop. Connections are kept alive and carry one exchange at a
-/// time.
+/// time. A response outside the grammar of HTTP/1.1 is malformed, and a body that has neither a
+/// length nor chunks is never whole. Interim responses are skipped.
 class client {
 public:
     using exchange_id = std::uint64_t;
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -3,15 +3,17 @@
 #include "event_loop_internals.h"
 #include "http/errors.h"
 #include "lws_headers.h"
+#include "wire/message.h"
 
+#include <libwebsockets.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <cstring>
 #include <deque>
-#include <optional>
+#include <numeric>
+#include <stdexcept>
 
 namespace greengagechute::http {
 
@@ -21,14 +23,12 @@
 
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
-constexpr int first_final_status = 200;
-constexpr int last_status = 599;
-/// libwebsockets cuts the request line at 2048 bytes, of which its fixed parts take 14.
+/// Most bytes of method, path and query together.
 constexpr std::size_t longest_request_line = 2'000;
+constexpr const char* protocol_name = "http";
 
 struct client_state;
 struct slot;
-struct link;
 
 /// One request and its response.
 struct exchange {
@@ -38,42 +38,32 @@
     exchange_handlers handlers;
     event_loop::timer_id timeout_timer = 0;
     event_loop::timer_id connect_timer = 0;
-    link* carrier = nullptr;
-    /// Set before libwebsockets may write the first byte.
+    slot* carrier = nullptr;
+    /// The request as it is sent, and how much of it the connection has taken.
+    std::string bytes;
+    std::size_t written = 0;
+    /// Set before the first byte is written.
     bool sent = false;
     /// The connection had served an earlier exchange.
     bool reused = false;
     bool retried = false;
-    std::size_t body_written = 0;
+    wire::response_parser parser;
     bool head_received = false;
-    bool expects_body = true;
-    bool chunked = false;
-    std::optional<std::size_t> length;
-    std::size_t received = 0;
+    /// The response ends at its head, by its method or status.
+    bool bodiless = false;
     bool paused = false;
 };
 
 enum class slot_phase { unused, busy, idle, closing };
 
-/// Room for one connection. It has a vhost of its own, because libwebsockets would otherwise queue
-/// a request behind a connection that is in use.
+/// Room for one connection.
 struct slot {
     client_state* owner = nullptr;
-    lws_vhost* vhost = nullptr;
     endpoint target;
     slot_phase phase = slot_phase::unused;
-    /// The newest connection object of libwebsockets; an earlier one may still exist for a moment.
     lws* wsi = nullptr;
-    time_point idle_since;
-};
-
-/// Connects one connection object of libwebsockets with its slot and exchange.
-struct link {
-    slot* place = nullptr;
     exchange* current = nullptr;
-    /// While libwebsockets reads the body: where it started, and how far it came.
-    const char* read_begin = nullptr;
-    char* const* read_position = nullptr;
+    time_point idle_since;
 };
 
 struct endpoint_pool {
@@ -85,6 +75,7 @@
     event_loop::implementation* loop = nullptr;
     event_loop* events = nullptr;
     client_limits limits;
+    lws_vhost* vhost = nullptr;
     bool destroyed = false;
     exchange_id next_exchange = 1;
     std::unordered_map<exchange_id, std::unique_ptr<exchange>> exchanges;
@@ -177,10 +168,10 @@
 
 /// Ends the exchange and closes its connection.
 void fail_and_close(client_state& state, exchange& failed, http_errc cause) {
-    link* carrier = failed.carrier;
+    slot* carrier = failed.carrier;
     fail(state, failed, cause);
     if (carrier != nullptr) {
-        close_slot(*carrier->place);
+        close_slot(*carrier);
     }
 }
 
@@ -198,11 +189,6 @@
     }
 }
 
-/// Whether libwebsockets keeps the connection open after a request with this method.
-bool keeps_connection(const std::string& method) {
-    return method == "GET" || method == "POST" || method == "PUT";
-}
-
 /// Whether the peer closed the idle connection, or sent something that nobody asked for.
 bool is_stale(lws* wsi) {
     char byte = 0;
@@ -225,32 +211,33 @@
     return nullptr;
 }
 
-int client_callback(lws* wsi, lws_callback_reasons reason, void* user, void* in,
-                    std::size_t length);
-
-const std::array<lws_protocols, 2> protocols{{
-    {"http", client_callback, 0, 0, 0, nullptr, 0},
-    {nullptr, nullptr, 0, 0, 0, nullptr, 0},
-}};
-
-slot* take_unused(client_state& state) {
+slot& take_unused(client_state& state) {
     if (!state.unused.empty()) {
         slot* place = state.unused.back();
         state.unused.pop_back();
-        return place;
+        return *place;
     }
-    auto created = std::make_unique<slot>();
-    created->owner = &state;
-    lws_context_creation_info info{};
-    info.port = CONTEXT_PORT_NO_LISTEN;
-    info.protocols = protocols.data();
-    info.vhost_name = "client";
-    created->vhost = lws_create_vhost(state.loop->context, &info);
-    if (created->vhost == nullptr) {
-        return nullptr;
+    state.slots.push_back(std::make_unique<slot>());
+    state.slots.back()->owner = &state;
+    return *state.slots.back();
+}
+
+/// The request as it is sent. Takes the headers and the body out of the message.
+std::string serialize(const endpoint& target, request& message) {
+    wire::request converted;
+    converted.method = message.method;
+    converted.target = message.path.empty() ? "/" : message.path;
+    if (!message.query.empty()) {
+        converted.target += "?" + message.query;
+    }
+    converted.headers.push_back({"host", target.address});
+    for (header& field : message.headers) {
+        converted.headers.push_back({std::move(field.name), std::move(field.value)});
     }
-    state.slots.push_back(std::move(created));
-    return state.slots.back().get();
+    converted.body = std::move(message.body);
+    converted.has_body = !converted.body.empty() || converted.method == "POST" ||
+                         converted.method == "PUT" || converted.method == "PATCH";
+    return wire::serialize(converted);
 }
 
 void arm_connect_timer(client_state& state, exchange& started) {
@@ -258,46 +245,37 @@
         state.limits.connect_timeout, [&state, id = started.id] { on_connect_timeout(state, id); });
 }
 
+/// Opens a connection in the slot. Returns nullptr if it failed at once.
+lws* open_connection(client_state& state, slot& place) {
+    lws_client_connect_info info{};
+    info.context = state.loop->context;
+    info.vhost = state.vhost;
+    info.address = place.target.address.c_str();
+    info.port = place.target.port;
+    info.host = info.address;
+    // The connection moves bytes only; `wire` reads the response.
+    info.method = "RAW";
+    info.local_protocol_name = protocol_name;
+    info.opaque_user_data = &place;
+    return lws_client_connect_via_info(&info);
+}
+
 /// Gives the exchange to the slot, which has an idle connection or none.
 void start_on(client_state& state, exchange& started, slot& place) {
     started.reused = place.phase == slot_phase::idle;
-    if (place.phase == slot_phase::unused) {
-        state.pools[started.target].open += 1;
-    }
     place.target = started.target;
     place.phase = slot_phase::busy;
+    place.current = &started;
+    started.carrier = &place;
     arm_connect_timer(state, started);
-
-    std::string path = started.message.path.empty() ? "/" : started.message.path;
-    if (!started.message.query.empty()) {
-        path += "?" + started.message.query;
+    if (started.reused) {
+        lws_callback_on_writable(place.wsi);
+        return;
     }
-    const auto idle_seconds =
-        std::chrono::ceil<std::chrono::seconds>(state.limits.keep_alive).count() + 1;
-    auto* carrier = new link{&place, &started};
-    started.carrier = carrier;
-
-    lws_client_connect_info info{};
-    info.context = state.loop->context;
-    info.vhost = place.vhost;
-    info.address = started.target.address.c_str();
-    info.port = started.target.port;
-    // libwebsockets finds the idle connection again only if the Host header is equal to the
-    // address.
-    info.host = started.target.address.c_str();
-    info.path = path.c_str();
-    info.method = started.message.method.c_str();
-    info.protocol = "http";
-    info.local_protocol_name = "http";
-    info.ssl_connection = LCCSCF_PIPELINE | LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
-    info.opaque_user_data = carrier;
-    info.keep_warm_secs = static_cast<std::uint16_t>(std::min<std::int64_t>(idle_seconds, 65'535));
-    lws* wsi = nullptr;
-    info.pwsi = &wsi;
+    state.pools[started.target].open += 1;
     const exchange_id id = started.id;
-    const bool connecting = lws_client_connect_via_info(&info) != nullptr;
-    if (connecting) {
-        place.wsi = wsi;
+    place.wsi = open_connection(state, place);
+    if (place.wsi != nullptr) {
         return;
     }
     // Depending on where it failed, libwebsockets has or has not reported the error.
@@ -305,10 +283,6 @@
     if (failed != nullptr && failed->carrier != nullptr) {
         fail(state, *failed, http_errc::connect_failed);
     }
-    if (place.wsi != nullptr) {
-        close_slot(place);
-        return;
-    }
     release_slot(place);
 }
 
@@ -324,10 +298,7 @@
             pool.waiting.pop_front();
             continue;
         }
-        slot* place = nullptr;
-        if (keeps_connection(next->message.method)) {
-            place = next->retried ? nullptr : take_idle(state, target);
-        }
+        slot* place = next->retried ? nullptr : take_idle(state, target);
         if (place == nullptr) {
             if (pool.open >= state.limits.connections_per_endpoint) {
                 std::vector<slot*>& idle = state.idle[target];
@@ -336,13 +307,9 @@
                 }
                 return;
             }
-            place = take_unused(state);
+            place = &take_unused(state);
         }
         pool.waiting.pop_front();
-        if (place == nullptr) {
-            fail(state, *next, http_errc::connect_failed);
-            continue;
-        }
         start_on(state, *next, *place);
     }
 }
@@ -357,206 +324,160 @@
     state.loop->defer([&state, target = failed.target] { start_next(state, target); });
 }
 
-bool has_body(const request& message) {
-    return !message.body.empty();
-}
-
-bool append_header(lws* wsi, std::string_view name, std::string_view value,
-                   unsigned char** position, unsigned char* end) {
-    const std::string with_colon = std::string(name) + ":";
-    return lws_add_http_header_by_name(wsi,
-                                       reinterpret_cast<const unsigned char*>(with_colon.c_str()),
-                                       reinterpret_cast<const unsigned char*>(value.data()),
-                                       static_cast<int>(value.size()), position, end) == 0;
-}
-
-int on_append_headers(lws* wsi, exchange& started, void* in, std::size_t length) {
-    client_state& state = *started.carrier->place->owner;
-    state.events->cancel(started.connect_timer);
-    started.sent = true;
-    auto** position = static_cast<unsigned char**>(in);
-    unsigned char* end = *position + length;
-    for (const header& field : started.message.headers) {
-        if (!append_header(wsi, field.name, field.value, position, end)) {
-            return -1;
-        }
-    }
-    const std::string& method = started.message.method;
-    if (has_body(started.message) || method == "POST" || method == "PUT" || method == "PATCH") {
-        const std::string size = std::to_string(started.message.body.size());
-        if (!append_header(wsi, "content-length", size, position, end)) {
-            return -1;
+/// Writes what the connection takes of the request; lws_write would copy the rest.
+void write_request(lws* wsi, exchange& active) {
+    client_state& state = *active.carrier->owner;
+    state.events->cancel(active.connect_timer);
+    active.sent = true;
+    while (active.written < active.bytes.size()) {
+        const auto count =
+            ::send(lws_get_socket_fd(wsi), active.bytes.data() + active.written,
+                   active.bytes.size() - active.written, MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (count < 0) {
+            // Of a broken connection the response may still be read, and its end is reported there.
+            if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) {
+                lws_callback_on_writable(wsi);
+            }
+            return;
         }
+        active.written += static_cast<std::size_t>(count);
     }
-    if (has_body(started.message)) {
-        lws_client_http_body_pending(wsi, 1);
-        lws_callback_on_writable(wsi);
-    }
-    return 0;
 }
 
-int on_body_writable(lws* wsi, exchange& started) {
-    const std::string& body = started.message.body;
-    if (started.body_written >= body.size()) {
-        return 0;
-    }
-    std::vector<unsigned char>& buffer = started.carrier->place->owner->loop->write_buffer;
-    const std::size_t size = std::min(body.size() - started.body_written, buffer.size() - LWS_PRE);
-    std::memcpy(buffer.data() + LWS_PRE, body.data() + started.body_written, size);
-    const bool last = started.body_written + size == body.size();
-    if (last) {
-        lws_client_http_body_pending(wsi, 0);
-    }
-    if (lws_write(wsi, buffer.data() + LWS_PRE, size,
-                  last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP) < 0) {
-        return -1;
-    }
-    started.body_written += size;
-    if (!last) {
-        lws_callback_on_writable(wsi);
+/// The headers that are passed on: the common ones and those in `custom`, named in lower case.
+header_list select_headers(const wire::header_list& received,
+                           const std::vector<std::string>& custom) {
+    header_list selected;
+    for (const wire::header& field : received) {
+        std::string name = field.name;
+        std::transform(name.begin(), name.end(), name.begin(), [](char letter) {
+            return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
+        });
+        if (is_common_header(name) ||
+            std::find(custom.begin(), custom.end(), name) != custom.end()) {
+            selected.push_back({std::move(name), std::string(trim_blanks(field.value))});
+        }
     }
-    return 0;
+    return selected;
 }
 
-bool forbids_body(const exchange& started, int status) {
-    return started.message.method == "HEAD" || status == status_no_content ||
-           status == status_not_modified;
+std::size_t header_size(const wire::header_list& headers) {
+    constexpr std::size_t separators = 4;
+    return std::accumulate(headers.begin(), headers.end(), std::size_t{0},
+                           [](std::size_t size, const wire::header& field) {
+                               return size + field.name.size() + field.value.size() + separators;
+                           });
 }
 
-/// Reads how the end of the body will be known. Returns false if the headers contradict each other
-/// or name a coding that libwebsockets does not read.
-bool read_framing(exchange& started, int status, const header_list& headers) {
-    started.expects_body = !forbids_body(started, status);
-    const std::string_view coding = find_header(headers, "transfer-encoding");
-    if (started.expects_body && !coding.empty() && coding != "chunked") {
-        return false;
-    }
-    started.chunked = !coding.empty();
-    const std::string_view length = find_header(headers, "content-length");
-    if (length.empty()) {
-        return true;
-    }
-    std::size_t size = 0;
-    if (!parse_size(length, size) || started.chunked) {
+/// Passes on the head of the response. Returns false if the exchange has ended.
+bool pass_on_head(slot& place, const wire::response& message) {
+    client_state& state = *place.owner;
+    exchange& active = *place.current;
+    if (header_size(message.headers) > state.limits.header_bytes) {
+        fail(state, active, http_errc::malformed_response);
         return false;
     }
-    started.length = size;
-    return true;
-}
-
-int on_completed(lws* wsi, link& carrier);
-
-int on_head(lws* wsi, link& carrier) {
-    exchange& started = *carrier.current;
-    client_state& state = *carrier.place->owner;
-    const int status = static_cast<int>(lws_http_client_http_response(wsi));
-    const header_list headers = read_headers(wsi, state.limits.custom_headers);
-    if (status < first_final_status || status > last_status || !has_valid_status(wsi) ||
-        header_size(headers) > state.limits.header_bytes ||
-        !read_framing(started, status, headers)) {
-        fail(state, started, http_errc::malformed_response);
-        return -1;
-    }
-    started.head_received = true;
-    if (started.handlers.on_head) {
+    active.head_received = true;
+    if (active.handlers.on_head) {
         // A copy, since the handler may cancel the exchange.
-        const auto handler = started.handlers.on_head;
-        handler(status, headers);
+        const auto handler = active.handlers.on_head;
+        handler(message.code, select_headers(message.headers, state.limits.custom_headers));
     }
-    if (carrier.current == nullptr) {
-        return -1;
-    }
-    if (!started.expects_body) {
-        // libwebsockets waits for the body that the headers announce, so the connection is not used
-        // again.
-        return on_completed(wsi, carrier);
-    }
-    return 0;
+    return place.current != nullptr;
 }
 
-int on_body_part(link& carrier, std::string_view part) {
-    exchange& started = *carrier.current;
-    started.received += part.size();
-    if (started.length.has_value() && started.received > *started.length) {
-        fail(*carrier.place->owner, started, http_errc::malformed_response);
-        return -1;
-    }
-    if (started.handlers.on_body && !part.empty()) {
-        const auto handler = started.handlers.on_body;
+/// Passes on a part of the body. Returns false if the exchange has ended.
+bool pass_on_body(slot& place, std::string_view part) {
+    const exchange& active = *place.current;
+    if (active.handlers.on_body && !part.empty()) {
+        const auto handler = active.handlers.on_body;
         handler(part);
     }
-    return carrier.current == nullptr ? -1 : 0;
-}
-
-int on_readable(lws* wsi, link& carrier) {
-    std::vector<char>& buffer = carrier.place->owner->loop->read_buffer;
-    char* position = buffer.data() + LWS_PRE;
-    int size = static_cast<int>(buffer_bytes);
-    carrier.read_begin = position;
-    carrier.read_position = &position;
-    const int code = lws_http_client_read(wsi, &position, &size);
-    carrier.read_position = nullptr;
-    return code < 0 ? -1 : 0;
-}
-
-/// libwebsockets reports a body without Content-Length as complete also when the peer closes the
-/// connection. In that case it has read nothing; the end marker has at least one byte.
-bool read_any_byte(const link& carrier) {
-    return carrier.read_position != nullptr && *carrier.read_position != carrier.read_begin;
-}
-
-bool body_is_whole(const link& carrier) {
-    const exchange& ended = *carrier.current;
-    if (!ended.head_received) {
-        return false;
-    }
-    if (!ended.expects_body) {
-        return true;
-    }
-    if (ended.length.has_value()) {
-        return ended.received == *ended.length;
-    }
-    return ended.chunked && read_any_byte(carrier);
+    return place.current != nullptr;
 }
 
-/// libwebsockets saw the end of the body. The connection becomes idle before the caller is told.
-int on_completed(lws* wsi, link& carrier) {
-    exchange& ended = *carrier.current;
-    client_state& state = *carrier.place->owner;
-    slot& place = *carrier.place;
-    if (!body_is_whole(carrier)) {
-        fail(state, ended, http_errc::incomplete_response);
-        return -1;
-    }
-    const bool reusable = keeps_connection(ended.message.method) && ended.expects_body &&
-                          place.wsi == wsi && place.phase == slot_phase::busy &&
-                          ended.body_written == ended.message.body.size();
-    carrier.current = nullptr;
+/// Ends an exchange whose response is whole. A reusable connection becomes idle before the caller
+/// is told.
+void finish_exchange(slot& place, bool reusable) {
+    client_state& state = *place.owner;
+    exchange& ended = *place.current;
+    place.current = nullptr;
     ended.carrier = nullptr;
     state.events->cancel(ended.timeout_timer);
     state.loop->defer([&state, &place, reusable, id = ended.id] {
-        if (reusable && place.phase == slot_phase::busy && place.wsi != nullptr) {
+        // The connection may have closed since, and the slot may carry another exchange.
+        if (reusable && place.phase == slot_phase::busy && place.wsi != nullptr &&
+            place.current == nullptr) {
             place.phase = slot_phase::idle;
             place.idle_since = std::chrono::steady_clock::now();
             state.idle[place.target].push_back(&place);
             start_next(state, place.target);
         }
-        exchange* complete = find_exchange(state, id);
-        if (complete == nullptr || state.destroyed) {
+        exchange* finished = find_exchange(state, id);
+        if (finished == nullptr || state.destroyed) {
             return;
         }
-        const std::unique_ptr<exchange> owned = take_exchange(state, *complete);
+        const std::unique_ptr<exchange> owned = take_exchange(state, *finished);
         if (owned->handlers.on_complete) {
             owned->handlers.on_complete();
         }
     });
-    return reusable ? 0 : -1;
+}
+
+/// Takes what has been read of the response and not been taken: the head once, the body in parts.
+wire::response take_part(exchange& active, bool whole) {
+    if (whole) {
+        return active.parser.take();
+    }
+    wire::response part;
+    if (!active.head_received) {
+        part = active.parser.take_head();
+    }
+    part.body = active.parser.take_body_part();
+    return part;
+}
+
+/// Reads the response on. Returns whether the connection stays open.
+bool read_response(slot& place, std::string_view bytes) {
+    exchange& active = *place.current;
+    std::size_t used = 0;
+    const bool whole = active.parser.feed(bytes, used);
+    if (active.parser.error()) {
+        fail(*place.owner, active, http_errc::malformed_response);
+        return false;
+    }
+    if (!whole && !active.parser.is_head_read()) {
+        return true;
+    }
+    const wire::response message = take_part(active, whole);
+    if (!active.head_received) {
+        active.bodiless = active.message.method == "HEAD" || message.code == status_no_content ||
+                          message.code == status_not_modified;
+        if (!pass_on_head(place, message)) {
+            return false;
+        }
+    }
+    if (active.bodiless) {
+        // A body that is sent in spite of this would be read as the next response.
+        finish_exchange(place, false);
+        return false;
+    }
+    if (!pass_on_body(place, message.body)) {
+        return false;
+    }
+    if (!whole) {
+        return true;
+    }
+    const bool reusable = message.keep_alive && !active.paused && used == bytes.size() &&
+                          active.written == active.bytes.size();
+    finish_exchange(place, reusable);
+    return reusable;
 }
 
 /// The connection ended before the exchange did.
-void on_lost(link& carrier, std::string_view detail) {
-    exchange& lost = *carrier.current;
-    client_state& state = *carrier.place->owner;
+void on_lost(slot& place) {
+    exchange& lost = *place.current;
+    client_state& state = *place.owner;
     if (!lost.sent && lost.reused && !lost.retried) {
         restart(state, lost);
         return;
@@ -565,73 +486,66 @@
         fail(state, lost, http_errc::connect_failed);
         return;
     }
-    if (lost.head_received) {
-        fail(state, lost, http_errc::incomplete_response);
-        return;
-    }
-    // These are the texts that libwebsockets gives for a header block that it cannot parse.
-    const bool malformed = detail.find("problem parsing") != std::string_view::npos ||
-                           detail.find("http fail") != std::string_view::npos;
-    fail(state, lost, malformed ? http_errc::malformed_response : http_errc::connection_closed);
+    fail(state, lost,
+         lost.head_received ? http_errc::incomplete_response : http_errc::connection_closed);
 }
 
-void on_destroyed(lws* wsi, link* carrier) {
-    slot& place = *carrier->place;
-    if (carrier->current != nullptr) {
-        on_lost(*carrier, {});
+/// The connection object of libwebsockets is about to be freed.
+void on_destroyed(lws* wsi, slot& place) {
+    lws_set_opaque_user_data(wsi, nullptr);
+    if (place.owner->destroyed) {
+        return;
     }
-    if (place.wsi == wsi || place.wsi == nullptr) {
-        release_slot(place);
+    if (place.current != nullptr) {
+        on_lost(place);
     }
-    delete carrier;
+    release_slot(place);
 }
 
 int client_callback(lws* wsi, lws_callback_reasons reason, void*, void* in, std::size_t length) {
-    auto* carrier = static_cast<link*>(lws_get_opaque_user_data(wsi));
-    if (carrier == nullptr) {
+    auto* place = static_cast<slot*>(lws_get_opaque_user_data(wsi));
+    if (place == nullptr) {
         return 0;
     }
     if (reason == LWS_CALLBACK_WSI_DESTROY) {
-        lws_set_opaque_user_data(wsi, nullptr);
-        if (carrier->place->owner->destroyed) {
-            delete carrier;
-            return 0;
-        }
-        on_destroyed(wsi, carrier);
+        on_destroyed(wsi, *place);
         return 0;
     }
-    if (carrier->current == nullptr) {
-        return reason == LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ ||
-                       reason == LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER ||
-                       reason == LWS_CALLBACK_RECEIVE_CLIENT_HTTP
-                   ? -1
-                   : 0;
+    if (place->current == nullptr) {
+        // Nobody asked for what an idle connection receives.
+        return reason == LWS_CALLBACK_RAW_RX ? -1 : 0;
     }
     switch (reason) {
-        case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
-            return on_append_headers(wsi, *carrier->current, in, length);
-        case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-            return on_body_writable(wsi, *carrier->current);
-        case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
-            return on_head(wsi, *carrier);
-        case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-            return on_readable(wsi, *carrier);
-        case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-            return on_body_part(*carrier, {static_cast<const char*>(in), length});
-        case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-            return on_completed(wsi, *carrier);
-        case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-            on_lost(*carrier, in == nullptr ? std::string_view()
-                                            : std::string_view(static_cast<char*>(in), length));
+        case LWS_CALLBACK_RAW_CONNECTED:
+            lws_callback_on_writable(wsi);
+            return 0;
+        case LWS_CALLBACK_RAW_WRITEABLE:
+            write_request(wsi, *place->current);
             return 0;
-        case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
-            on_lost(*carrier, {});
+        case LWS_CALLBACK_RAW_RX:
+            return read_response(*place, {static_cast<const char*>(in), length}) ? 0 : -1;
+        case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+        case LWS_CALLBACK_RAW_CLOSE:
+            on_lost(*place);
             return 0;
         default:
             return 0;
     }
 }
 
+constexpr std::array<lws_protocols, 2> protocols{{
+    {protocol_name, client_callback, 0, 0, 0, nullptr, 0},
+    {nullptr, nullptr, 0, 0, 0, nullptr, 0},
+}};
+
+lws_vhost* create_vhost(lws_context* context) {
+    lws_context_creation_info info{};
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.protocols = protocols.data();
+    info.vhost_name = "client";
+    return lws_create_vhost(context, &info);
+}
+
 /// Closes connections that were idle for too long.
 void sweep(client_state& state) {
     const time_point now = std::chrono::steady_clock::now();
@@ -658,7 +572,7 @@
            });
 }
 
-/// Removes the headers that this library or libwebsockets writes itself.
+/// Removes the headers that this library writes itself.
 void remove_framing_headers(header_list& headers) {
     constexpr std::array<std::string_view, 4> names{"content-length", "transfer-encoding",
                                                     "connection", "host"};
@@ -710,10 +624,7 @@
     ending.destroyed = true;
     event_loop::implementation& loop = *ending.loop;
     const std::shared_ptr<client_state> kept = std::move(this->state);
-    for (const std::unique_ptr<slot>& place : kept->slots) {
-        loop.keep_until_destroyed(place->vhost, kept);
-    }
-    loop.retired.push_back(kept);
+    loop.keep_until_destroyed(kept->vhost, kept);
 }
 
 exchange_id lws_client::send(const endpoint& target, request message, milliseconds timeout,
@@ -726,12 +637,15 @@
     started.message = std::move(message);
     started.handlers = std::move(handlers);
     remove_framing_headers(started.message.headers);
+    started.parser.set_head_limit(header_storage_bytes);
+    started.parser.expect_no_body(started.message.method == "HEAD");
     const exchange_id id = started.id;
     owner.exchanges.emplace(id, std::move(created));
     if (!is_valid(started.message) || target.port == 0) {
         fail(owner, started, http_errc::invalid_request);
         return id;
     }
+    started.bytes = serialize(target, started.message);
     started.timeout_timer =
         owner.events->call_after(timeout, [&owner, id] { on_exchange_timeout(owner, id); });
     owner.pools[target].waiting.push_back(id);
@@ -744,19 +658,20 @@
     if (cancelled == nullptr) {
         return;
     }
-    link* carrier = cancelled->carrier;
+    slot* carrier = cancelled->carrier;
     const std::unique_ptr<exchange> owned = take_exchange(*this->state, *cancelled);
     if (carrier != nullptr) {
-        close_slot(*carrier->place);
+        close_slot(*carrier);
     }
 }
 
 void lws_client::set_reading(exchange_id id, bool reading) {
-    const exchange* found = find_exchange(*this->state, id);
-    if (found == nullptr || found->carrier == nullptr || found->carrier->place->wsi == nullptr) {
+    exchange* found = find_exchange(*this->state, id);
+    if (found == nullptr || found->carrier == nullptr || found->carrier->wsi == nullptr) {
         return;
     }
-    lws_rx_flow_control(found->carrier->place->wsi, reading ? 1 : 0);
+    found->paused = !reading;
+    lws_rx_flow_control(found->carrier->wsi, reading ? 1 : 0);
 }
 
 }  // namespace
@@ -766,6 +681,10 @@
     state->loop = &loop.internals();
     state->events = &loop;
     state->limits = limits;
+    state->vhost = create_vhost(state->loop->context);
+    if (state->vhost == nullptr) {
+        throw std::runtime_error("libwebsockets cannot create a vhost");
+    }
     return std::make_unique<lws_client>(std::move(state));
 }
 
--- a/libs/http/src/lws_headers.cpp
+++ b/libs/http/src/lws_headers.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <set>
 
 namespace greengagechute::http {
 
@@ -70,11 +71,7 @@
     const int copied =
         lws_hdr_custom_copy(connection, value.data(), length + 1, with_colon.c_str(), name_length);
     value.resize(copied > 0 ? static_cast<std::size_t>(copied) : 0);
-    while (!value.empty() && (value.back() == ' ' || value.back() == '\t')) {
-        value.pop_back();
-    }
-    const std::size_t first = value.find_first_not_of(" \t");
-    headers.push_back({name, first == std::string::npos ? std::string() : value.substr(first)});
+    headers.push_back({name, std::string(trim_blanks(value))});
 }
 
 bool is_unreserved(unsigned char letter) {
@@ -86,6 +83,19 @@
 
 }  // namespace
 
+bool is_common_header(std::string_view name) {
+    static const std::set<std::string_view> names(common_names().begin(), common_names().end());
+    return !name.empty() && names.contains(name);
+}
+
+std::string_view trim_blanks(std::string_view text) {
+    constexpr std::string_view blanks = " \t";
+    const std::size_t first = text.find_first_not_of(blanks);
+    return first == std::string_view::npos
+               ? std::string_view()
+               : text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
 header_list read_headers(lws* connection, const std::vector<std::string>& custom) {
     header_list headers;
     headers.reserve(16);
@@ -106,19 +116,6 @@
     return headers;
 }
 
-bool has_valid_status(lws* connection) {
-    constexpr std::size_t code_digits = 3;
-    const auto token = lws_hdr_total_length(connection, WSI_TOKEN_HTTP1_0) > 0 ? WSI_TOKEN_HTTP1_0
-                                                                               : WSI_TOKEN_HTTP;
-    const std::string status =
-        copy_header(connection, token, lws_hdr_total_length(connection, token));
-    const bool has_code = status.size() >= code_digits &&
-                          std::all_of(status.begin(), status.begin() + code_digits,
-                                      [](char letter) { return letter >= '0' && letter <= '9'; });
-    return has_code && (status.size() == code_digits || status[code_digits] == ' ') &&
-           valid_header_value(status);
-}
-
 std::size_t header_size(const header_list& headers) {
     constexpr std::size_t separators = 4;
     std::size_t size = 0;
--- a/libs/http/src/lws_headers.h
+++ b/libs/http/src/lws_headers.h
@@ -17,9 +17,11 @@
 /// Largest header block that the parser stores. The field is 16 bits wide in libwebsockets.
 inline constexpr std::size_t header_storage_bytes = 65'500;
 
-/// Whether the status line of a response has a code of three digits, and behind it nothing or a
-/// blank and text. libwebsockets takes more, and skips blanks before the code and carriage returns.
-bool has_valid_status(lws* connection);
+/// Whether `read_headers` reads headers of this name, in lower case, without being asked for them.
+bool is_common_header(std::string_view name);
+
+/// The text without the spaces and tabs around it.
+std::string_view trim_blanks(std::string_view text);
 
 /// Reads the headers that the connection has parsed: the common ones, then those in `custom`.
 header_list read_headers(lws* connection, const std::vector<std::string>& custom);
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <boost/test/unit_test.hpp>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -378,6 +379,25 @@
     BOOST_TEST(size == total);
 }
 
+// Guards against a connection that stays stopped for the exchanges behind one that was paused when
+// it ended.
+BOOST_AUTO_TEST_CASE(exchange_paused_at_its_end_does_not_stop_the_next) {
+    fixture f;
+    auto server = f.serve(
+        [](const http::request&, const auto& writer) { http::respond(*writer, 200, {}, "ok"); });
+    for (int i = 0; i < 3; ++i) {
+        answer received;
+        http::exchange_handlers handlers = f.record(received, [&] { f.loop.stop(); });
+        http::client::exchange_id id = 0;
+        handlers.on_body = [&](std::string_view) { f.client->pause(id); };
+        id = f.client->send({"127.0.0.1", server->port()}, get("/"), milliseconds(1000), handlers);
+        f.run_for(milliseconds(20));
+        f.client->resume(id);
+        BOOST_TEST(f.run_until([&] { return received.complete; }));
+        BOOST_TEST(!received.cause);
+    }
+}
+
 // Guards against a slow reader that holds up others or makes the queue of its response disappear.
 BOOST_AUTO_TEST_CASE(slow_reader_does_not_delay_others) {
     constexpr std::size_t total = 16UL * 1024 * 1024;
@@ -481,6 +501,39 @@
     }
 }
 
+// Guards against losing a response that a server sends whole before it has read the upload, which
+// it then leaves unread or cuts by a reset.
+BOOST_AUTO_TEST_CASE(whole_response_is_read_during_the_upload) {
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::vector<std::string> responses{
+        head + "Content-Length: 2\r\n\r\nok",
+        head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"};
+    const std::string upload(8U << 20U, 'b');
+    for (const std::string& response : responses) {
+        for (const bool resets : {false, true}) {
+            fixture f;
+            raw_peer peer([&](int socket, int) {
+                read_until(socket, "\r\n\r\n");
+                // By then nothing more of the upload fits the connection.
+                std::this_thread::sleep_for(milliseconds(50));
+                send_text(socket, response);
+                if (resets) {
+                    shutdown(socket, SHUT_WR);
+                    const linger reset{1, 0};
+                    setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+                    return;
+                }
+                pollfd closed{socket, POLLRDHUP, 0};
+                poll(&closed, 1, 5000);
+            });
+            const answer received = f.exchange(peer.port, post("/", upload));
+            BOOST_TEST(received.complete, response << (resets ? "reset: " : "left unread: ")
+                                                   << received.cause.message());
+            BOOST_TEST(received.body == "ok", response);
+        }
+    }
+}
+
 // Guards against a response that is not HTTP and against a connection that closes without one.
 BOOST_AUTO_TEST_CASE(unusable_response_is_a_failure) {
     const std::vector<std::string> broken{
@@ -549,7 +602,7 @@
     check(std::string("X\0Load", 6));
 }
 
-// Guards against blanks and carriage returns that libwebsockets skips in a status line.
+// Guards against blanks and carriage returns that are skipped in a status line.
 BOOST_AUTO_TEST_CASE(response_with_a_broken_status_line_is_refused) {
     for (const std::string line : {"HTTP/1.1  200 OK\r\n", "HTTP/1.1 200 O\rK\r\n"}) {
         check_is_refused(line + "Content-Length: 2\r\n\r\nok");
@@ -571,6 +624,47 @@
     }
 }
 
+// Guards against a response that broke off within its head and takes the status or the headers of
+// the next one on its connection.
+BOOST_AUTO_TEST_CASE(response_joined_with_another_is_refused) {
+    const std::string next = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    check_is_refused("HTTP/1.1 503 Ser" + next);
+    check_is_refused("HTTP/1.1 503 Busy\r\nX-Ke" + next);
+    check_is_refused("HTTP/1.1 503 Busy\r\nX-Key: a" + next);
+}
+
+// Guards against an interim response being taken for the final one.
+BOOST_AUTO_TEST_CASE(interim_responses_are_skipped) {
+    fixture f;
+    raw_peer peer([&](int socket, int) {
+        read_until(socket, "\r\n\r\n");
+        send_text(socket,
+                  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-Key: early\r\n\r\n"
+                  "HTTP/1.1 200 OK\r\nX-Key: final\r\nContent-Length: 2\r\n\r\nok");
+    });
+    const answer received = f.exchange(peer.port, get("/"));
+    BOOST_TEST(received.complete, received.cause.message());
+    BOOST_TEST(received.status == 200);
+    BOOST_TEST(http::find_header(received.headers, "x-key") == "final");
+    BOOST_TEST(received.body == "ok");
+}
+
+// Guards against bytes behind a response, which nobody asked for, being read as the next one.
+BOOST_AUTO_TEST_CASE(bytes_behind_a_response_are_not_the_next_response) {
+    const std::string begin = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
+    fixture f;
+    raw_peer peer([&](int socket, int connection) {
+        read_until(socket, "\r\n\r\n");
+        send_text(socket, begin + std::to_string(connection) + "." + begin + "!!");
+        read_until(socket, "\r\n\r\n");
+    });
+    for (const char* expected : {"1.", "2.", "3."}) {
+        const answer received = f.exchange(peer.port, get("/"));
+        BOOST_TEST(received.complete, received.cause.message());
+        BOOST_TEST(received.body == expected);
+    }
+}
+
 // Guards against a body in a transfer coding that is not read, passed on as if it were plain.
 BOOST_AUTO_TEST_CASE(response_in_an_unknown_transfer_coding_is_malformed) {
     const auto check = [](const std::string& coding, const std::string& body) {
--- a/libs/wire/include/wire/message.h
+++ b/libs/wire/include/wire/message.h
@@ -115,9 +115,14 @@
     status error() const;
     bool in_message() const;
     response take();
+    /// The head of the current response has been read.
+    bool is_head_read() const;
     /// Status and headers of a response whose body has not been read whole; no headers if its head
     /// is not complete.
     response take_head();
+    /// The body of an incomplete response as far as it was read since the last call, for callers
+    /// that pass it on in parts. `take` then returns the rest.
+    std::string take_body_part();
 
 private:
     struct state;
--- a/libs/wire/src/message.cpp
+++ b/libs/wire/src/message.cpp
@@ -536,6 +536,14 @@
     return this->implementation->begun && !this->implementation->complete;
 }
 
+bool response_parser::is_head_read() const {
+    return this->implementation->headers_done;
+}
+
+std::string response_parser::take_body_part() {
+    return this->implementation->take_body();
+}
+
 response response_parser::take_head() {
     state& own = *this->implementation;
     response message;
