--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -12,7 +12,6 @@
 #include <array>
 #include <cerrno>
 #include <deque>
-#include <numeric>
 #include <stdexcept>
 
 namespace greengagechute::http {
@@ -350,25 +349,15 @@
     header_list selected;
     for (const wire::header& field : received) {
         std::string name = field.name;
-        std::transform(name.begin(), name.end(), name.begin(), [](char letter) {
-            return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
-        });
+        std::transform(name.begin(), name.end(), name.begin(), lower);
         if (is_common_header(name) ||
             std::find(custom.begin(), custom.end(), name) != custom.end()) {
-            selected.push_back({std::move(name), std::string(trim_blanks(field.value))});
+            selected.push_back({std::move(name), std::string(wire::trimmed(field.value))});
         }
     }
     return selected;
 }
 
-std::size_t header_size(const wire::header_list& headers) {
-    constexpr std::size_t separators = 4;
-    return std::accumulate(headers.begin(), headers.end(), std::size_t{0},
-                           [](std::size_t size, const wire::header& field) {
-                               return size + field.name.size() + field.value.size() + separators;
-                           });
-}
-
 /// Passes on the head of the response. Returns false if the exchange has ended.
 bool pass_on_head(slot& place, const wire::response& message) {
     client_state& state = *place.owner;
--- a/libs/http/src/lws_headers.cpp
+++ b/libs/http/src/lws_headers.cpp
@@ -1,5 +1,7 @@
 #include "lws_headers.h"
 
+#include "wire/message.h"
+
 #include <libwebsockets.h>
 
 #include <algorithm>
@@ -71,7 +73,7 @@
     const int copied =
         lws_hdr_custom_copy(connection, value.data(), length + 1, with_colon.c_str(), name_length);
     value.resize(copied > 0 ? static_cast<std::size_t>(copied) : 0);
-    headers.push_back({name, std::string(trim_blanks(value))});
+    headers.push_back({name, std::string(wire::trimmed(value))});
 }
 
 bool is_unreserved(unsigned char letter) {
@@ -88,14 +90,6 @@
     return !name.empty() && names.contains(name);
 }
 
-std::string_view trim_blanks(std::string_view text) {
-    constexpr std::string_view blanks = " \t";
-    const std::size_t first = text.find_first_not_of(blanks);
-    return first == std::string_view::npos
-               ? std::string_view()
-               : text.substr(first, text.find_last_not_of(blanks) - first + 1);
-}
-
 header_list read_headers(lws* connection, const std::vector<std::string>& custom) {
     header_list headers;
     headers.reserve(16);
@@ -116,13 +110,8 @@
     return headers;
 }
 
-std::size_t header_size(const header_list& headers) {
-    constexpr std::size_t separators = 4;
-    std::size_t size = 0;
-    for (const header& field : headers) {
-        size += field.name.size() + field.value.size() + separators;
-    }
-    return size;
+char lower(char letter) {
+    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
 }
 
 std::string read_query(lws* connection) {
--- a/libs/http/src/lws_headers.h
+++ b/libs/http/src/lws_headers.h
@@ -20,14 +20,22 @@
 /// Whether `read_headers` reads headers of this name, in lower case, without being asked for them.
 bool is_common_header(std::string_view name);
 
-/// The text without the spaces and tabs around it.
-std::string_view trim_blanks(std::string_view text);
-
 /// Reads the headers that the connection has parsed: the common ones, then those in `custom`.
 header_list read_headers(lws* connection, const std::vector<std::string>& custom);
 
-/// Size of the header list as text.
-std::size_t header_size(const header_list& headers);
+/// Size of a list of headers, of this library or of `wire`, as text.
+template <typename list>
+std::size_t header_size(const list& headers) {
+    constexpr std::size_t separators = 4;
+    std::size_t size = 0;
+    for (const auto& field : headers) {
+        size += field.name.size() + field.value.size() + separators;
+    }
+    return size;
+}
+
+/// The letter in lower case, if it is one of ASCII.
+char lower(char letter);
 
 /// The URI arguments, joined by `&` and percent-encoded.
 std::string read_query(lws* connection);
--- a/libs/http/src/types.cpp
+++ b/libs/http/src/types.cpp
@@ -1,5 +1,7 @@
 #include "http/types.h"
 
+#include "lws_headers.h"
+
 #include <algorithm>
 #include <charconv>
 #include <system_error>
@@ -8,10 +10,6 @@
 
 namespace {
 
-char lower(char letter) {
-    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
-}
-
 bool same_name(std::string_view left, std::string_view right) {
     return std::equal(left.begin(), left.end(), right.begin(), right.end(),
                       [](char a, char b) { return lower(a) == lower(b); });
--- a/libs/wire/include/wire/message.h
+++ b/libs/wire/include/wire/message.h
@@ -19,6 +19,9 @@
 
 using header_list = std::vector<header>;
 
+/// The text without the spaces and tabs around it.
+std::string_view trimmed(std::string_view text);
+
 /// Value of the first header of that name, in any case; nullptr if there is none.
 const std::string* find_header(const header_list& headers, std::string_view name);
 /// Values of all headers of that name, in any case and in their order.
--- a/libs/wire/src/message.cpp
+++ b/libs/wire/src/message.cpp
@@ -18,16 +18,6 @@
            strncasecmp(first.data(), second.data(), first.size()) == 0;
 }
 
-std::string_view trimmed(std::string_view text) {
-    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
-        text.remove_prefix(1);
-    }
-    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
-        text.remove_suffix(1);
-    }
-    return text;
-}
-
 void append_headers(std::string& bytes, const header_list& headers) {
     for (const header& line : headers) {
         bytes.append(line.name).append(": ").append(line.value).append("\r\n");
@@ -59,9 +49,7 @@
         const std::string_view rest = line.substr(at + protocol.size(), pattern.size());
         const bool matches =
             rest.size() == pattern.size() &&
-            std::equal(rest.begin(), rest.end(), pattern.begin(), [](char c, char wanted) {
-                return wanted == '0' ? c >= '0' && c <= '9' : c == wanted;
-            });
+            std::equal(rest.begin(), rest.end(), pattern.begin(), fits_digit_pattern);
         if (matches) {
             return true;
         }
@@ -313,6 +301,16 @@
 
 }  // namespace
 
+std::string_view trimmed(std::string_view text) {
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
 const std::string* find_header(const header_list& headers, std::string_view name) {
     const auto found = std::find_if(headers.begin(), headers.end(), [name](const header& line) {
         return same_name(line.name, name);
--- a/libs/wire/src/response_syntax.cpp
+++ b/libs/wire/src/response_syntax.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-/// The status line up to its code; 0 stands for any digit.
+/// The status line up to its code.
 constexpr std::string_view status_line_pattern = "HTTP/1.0 000";
 
 bool is_digit(char c) {
@@ -33,6 +33,10 @@
 
 }  // namespace
 
+bool fits_digit_pattern(char c, char wanted) {
+    return wanted == '0' ? is_digit(c) : c == wanted;
+}
+
 std::size_t response_syntax::read(std::string_view bytes) {
     std::size_t used = 0;
     while (used < bytes.size()) {
@@ -146,8 +150,7 @@
 
 bool response_syntax::fits_status_line(char c) const {
     if (this->column < status_line_pattern.size()) {
-        const char wanted = status_line_pattern[this->column];
-        return wanted == '0' ? is_digit(c) : c == wanted;
+        return fits_digit_pattern(c, status_line_pattern[this->column]);
     }
     return this->column == status_line_pattern.size() ? c == ' ' : is_text(c);
 }
--- a/libs/wire/src/response_syntax.h
+++ b/libs/wire/src/response_syntax.h
@@ -6,6 +6,9 @@
 
 namespace greengagechute::wire {
 
+/// Whether a byte fits one of a pattern, in which 0 stands for any digit.
+bool fits_digit_pattern(char c, char wanted);
+
 /// Checks a response against the grammar of HTTP/1.1 (RFC 9112, sections 2, 4 and 7.1) where
 /// http-parser takes more: the status line, the ends of lines, and the sizes and ends of chunks.
 /// Header lines themselves are left to http-parser.
