Take out what the daemon's former reader left behind

Cause: since nothing reads into the loop's read_buffer (64 KB a loop), an exchange keeps its request only for the method, and the reason given for a bound of descriptors no longer holds: a client that keeps its connections itself makes libwebsockets search no table for them.

Change: the buffer is gone, the exchange keeps whether its response ends at the head, and the comment says what holds. The bound of the dispatch task stays as it is.

--- a/libs/http/include/http/event_loop.h
+++ b/libs/http/include/http/event_loop.h
@@ -18,9 +18,7 @@
     using timer_id = std::uint64_t;
 
     /// @param descriptors  most descriptors that the loop may have open; 0 means the limit of the
-    ///                     process. A new connection beyond it fails. libwebsockets searches a
-    ///                     table of this size each time a client's connection is used again, so
-    ///                     a loop with busy clients needs a bound. With a bound, each event
+    ///                     process. A new connection beyond it fails. With a bound, each event
     ///                     searches the open descriptors, so a loop with many callers has none.
     explicit event_loop(std::size_t descriptors = 0);
     ~event_loop();
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -33,7 +33,6 @@
 struct exchange {
     exchange_id id = 0;
     endpoint target;
-    request message;
     exchange_handlers handlers;
     event_loop::timer_id timeout_timer = 0;
     event_loop::timer_id connect_timer = 0;
@@ -221,10 +220,10 @@
     return *state.slots.back();
 }
 
-/// The request as it is sent. Takes the headers and the body out of the message.
-std::string serialize(const endpoint& target, request& message) {
+/// The request as it is sent.
+std::string serialize(const endpoint& target, request message) {
     wire::request converted;
-    converted.method = message.method;
+    converted.method = std::move(message.method);
     converted.target = message.path.empty() ? "/" : message.path;
     if (!message.query.empty()) {
         converted.target += "?" + message.query;
@@ -440,7 +439,7 @@
     }
     const wire::response message = take_part(active, whole);
     if (!active.head_received) {
-        active.bodiless = active.message.method == "HEAD" || message.code == status_no_content ||
+        active.bodiless = active.bodiless || message.code == status_no_content ||
                           message.code == status_not_modified;
         if (!pass_on_head(place, message)) {
             return false;
@@ -623,18 +622,18 @@
     exchange& started = *created;
     started.id = owner.next_exchange++;
     started.target = target;
-    started.message = std::move(message);
     started.handlers = std::move(handlers);
-    remove_framing_headers(started.message.headers);
+    remove_framing_headers(message.headers);
+    started.bodiless = message.method == "HEAD";
     started.parser.set_head_limit(header_storage_bytes);
-    started.parser.expect_no_body(started.message.method == "HEAD");
+    started.parser.expect_no_body(started.bodiless);
     const exchange_id id = started.id;
     owner.exchanges.emplace(id, std::move(created));
-    if (!is_valid(started.message) || target.port == 0) {
+    if (!is_valid(message) || target.port == 0) {
         fail(owner, started, http_errc::invalid_request);
         return id;
     }
-    started.bytes = serialize(target, started.message);
+    started.bytes = serialize(target, std::move(message));
     started.timeout_timer =
         owner.events->call_after(timeout, [&owner, id] { on_exchange_timeout(owner, id); });
     owner.pools[target].waiting.push_back(id);
--- a/libs/http/src/event_loop.cpp
+++ b/libs/http/src/event_loop.cpp
@@ -177,7 +177,6 @@
     }
     this->details->open_timer();
     this->details->write_buffer.resize(LWS_PRE + buffer_bytes);
-    this->details->read_buffer.resize(LWS_PRE + buffer_bytes);
 }
 
 event_loop::~event_loop() {
--- a/libs/http/src/event_loop_internals.h
+++ b/libs/http/src/event_loop_internals.h
@@ -25,9 +25,8 @@
     };
 
     lws_context* context = nullptr;
-    /// Shared by all connections: libwebsockets copies what it cannot write or deliver at once.
+    /// Shared by all connections of servers: libwebsockets copies what it cannot write at once.
     std::vector<unsigned char> write_buffer;
-    std::vector<char> read_buffer;
 
     std::mutex mutex;
     std::vector<std::function<void()>> posted;
