wire_test: check broken and sound responses by one loop each

Cause: the tests of lines and of chunks repeated the same loops. Change: one check for responses that are refused and one for those that are read. Each assertion stays, and the code and keep_alive are now checked in both tests; only HTTP/1.0 ends its connection. Measured: wire_test passed.

--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -80,6 +80,26 @@
     return complete || parser.feed_end() ? std::optional(parser.take()) : std::nullopt;
 }
 
+/// Checks that a response is refused, given whole or byte by byte.
+void check_response_is_refused(const std::string& bytes) {
+    for (const std::size_t step : {bytes.size(), std::size_t{1}}) {
+        BOOST_TEST(!read_response(bytes, step).has_value(), bytes);
+    }
+}
+
+/// Checks that a response with the body "ok" is read, given whole or byte by byte, and that its
+/// connection may go on but for HTTP/1.0.
+void check_response_is_read(const std::string& bytes) {
+    const bool keep_alive = !bytes.starts_with("HTTP/1.0");
+    for (const std::size_t step : {bytes.size(), std::size_t{1}}) {
+        const auto message = read_response(bytes, step);
+        BOOST_REQUIRE_MESSAGE(message.has_value(), bytes);
+        BOOST_TEST(message->code == 200, bytes);
+        BOOST_TEST(message->body == "ok", bytes);
+        BOOST_TEST(message->keep_alive == keep_alive, bytes);
+    }
+}
+
 bool is_refused(std::string_view bytes) {
     wire::request_parser parser;
     wire::request read;
@@ -528,9 +548,7 @@
         "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 0200 OK\r\n" + rest,
     };
     for (const std::string& bytes : broken) {
-        for (const std::size_t step : {bytes.size(), std::size_t{1}}) {
-            BOOST_TEST(!read_response(bytes, step).has_value(), bytes);
-        }
+        check_response_is_refused(bytes);
     }
     const std::vector<std::string> sound{
         line + rest,
@@ -542,12 +560,7 @@
         "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + line + rest,
     };
     for (const std::string& bytes : sound) {
-        for (const std::size_t step : {bytes.size(), std::size_t{1}}) {
-            const auto message = read_response(bytes, step);
-            BOOST_REQUIRE_MESSAGE(message.has_value(), bytes);
-            BOOST_TEST(message->code == 200, bytes);
-            BOOST_TEST(message->body == "ok", bytes);
-        }
+        check_response_is_read(bytes);
     }
 }
 
@@ -589,9 +602,7 @@
         "2\r\nok\r\n0\r\n",
     };
     for (const std::string& body : broken) {
-        for (const std::size_t step : {head.size() + body.size(), std::size_t{1}}) {
-            BOOST_TEST(!read_response(head + body, step).has_value(), body);
-        }
+        check_response_is_refused(head + body);
     }
     const std::vector<std::string> sound{"2\r\nok\r\n" + last,
                                          "1\r\no\r\n1\r\nk\r\n" + last,
@@ -603,12 +614,7 @@
                                          "2\r\nok\r\n0\r\nOwn-Sum: 5\r\n\r\n",
                                          "2\r\nok\r\n0\r\nOwn-Sum: 5\n\n"};
     for (const std::string& body : sound) {
-        for (const std::size_t step : {head.size() + body.size(), std::size_t{1}}) {
-            const auto message = read_response(head + body, step);
-            BOOST_REQUIRE_MESSAGE(message.has_value(), body);
-            BOOST_TEST(message->body == "ok", body);
-            BOOST_TEST(message->keep_alive, body);
-        }
+        check_response_is_read(head + body);
     }
 }
 
